--- /dev/null
+++ b/components/agent/src/core/mod.rs
@@ -0,0 +1,262 @@
+//! The agent's decisions: what waits, what runs, what was refused, and what each reader is due.
+
+mod record;
+mod transcript;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use errors::{Outcome, Refusal, ResultCode};
+use identity::Tier;
+use schedule::queue::Queue;
+use wire::{Dispatch, LoadDigest, RequestKey, Work};
+
+use record::{Record, State};
+pub use transcript::{Cursor, ReadStep};
+
+/// How long the answer of a finished request is held for a caller who asks again.
+const KEEP_FINISHED: Duration = Duration::from_secs(120);
+
+/// How long a withdrawal is remembered; longer than a message can be on its way.
+const KEEP_WITHDRAWN: Duration = Duration::from_secs(900);
+
+/// When a caller may come back after a refusal of work that had no time left here.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the upstream said of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum UpstreamEvent {
+    /// It has begun to answer.
+    Started {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content_type: String,
+    },
+    /// A piece of the answer.
+    Data(bytes::Bytes),
+    /// The answer is whole.
+    Finished,
+    /// It could not be reached; nothing was handed over.
+    NotReached(String),
+    /// It broke off.
+    Failed(String),
+}
+
+/// What the shell has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Hand the request to the upstream.
+    Start(Box<Dispatch>),
+    /// Tell the upstream to stop working on the request.
+    Abort(RequestKey),
+    /// Wake the readers of the request.
+    Wake(RequestKey),
+}
+
+/// What came of a request that an entry process handed over.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Admission {
+    /// It waits or runs; read its transcript.
+    Held,
+    /// It is refused; nothing ran.
+    Refused(Refusal),
+}
+
+/// What is known of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Settlement {
+    /// Never seen; refused from now on.
+    Withdrawn,
+    /// Waits here.
+    Queued,
+    /// The upstream works on it.
+    Running,
+    /// Its answer is held.
+    Finished,
+    /// It was refused before it was handed to the upstream.
+    NotRun,
+}
+
+/// The state of one agent.
+#[derive(Debug)]
+pub struct Core {
+    limit: u32,
+    running: u32,
+    leaving: bool,
+    queue: Queue<RequestKey>,
+    records: HashMap<RequestKey, Record>,
+}
+
+impl Core {
+    /// An agent that hands over at most `limit` requests at once.
+    pub fn new(limit: u32) -> Core {
+        Core {
+            limit,
+            running: 0,
+            leaving: false,
+            queue: Queue::new(),
+            records: HashMap::new(),
+        }
+    }
+
+    /// Takes a request, or says why not.
+    pub fn dispatch(&mut self, dispatch: Dispatch, now: Instant) -> (Admission, Vec<Action>) {
+        if let Some(record) = self.records.get(&dispatch.key) {
+            return (record.admit_again(), Vec::new());
+        }
+        if self.leaving {
+            let refusal = Refusal::not_run(ResultCode::Draining).with_retry_after(RETRY_AFTER);
+            return (Admission::Refused(refusal), Vec::new());
+        }
+        let deadline = now + dispatch.time_left;
+        let key = dispatch.key.clone();
+        self.queue.push(key.clone(), dispatch.tier, deadline);
+        self.records.insert(key, Record::queued(dispatch, deadline));
+        (Admission::Held, self.fill(now))
+    }
+
+    /// Takes what the upstream said of a request.
+    pub fn on_upstream(
+        &mut self,
+        key: &RequestKey,
+        event: UpstreamEvent,
+        now: Instant,
+    ) -> Vec<Action> {
+        let Some(record) = self.records.get_mut(key) else { return Vec::new() };
+        if record.state != State::Running {
+            return Vec::new();
+        }
+        let mut actions = vec![Action::Wake(key.clone())];
+        if record.take_upstream_event(event, now) {
+            self.running -= 1;
+            actions.extend(self.fill(now));
+        }
+        actions
+    }
+
+    /// Says what became of a request; one never seen is refused from now on.
+    pub fn settle(&mut self, key: &RequestKey, now: Instant) -> Settlement {
+        match self.records.get(key) {
+            Some(record) => record.settlement(),
+            None => {
+                self.records.insert(key.clone(), Record::withdrawn(now));
+                Settlement::Withdrawn
+            }
+        }
+    }
+
+    /// Ends a request whose caller is gone.
+    pub fn cancel(&mut self, key: &RequestKey, now: Instant) -> Vec<Action> {
+        let Some(record) = self.records.get_mut(key) else { return Vec::new() };
+        match record.state {
+            State::Queued => {
+                record.end_not_run(Refusal::not_run(ResultCode::Withdrawn), now);
+                self.queue.remove(key);
+                vec![Action::Wake(key.clone())]
+            }
+            State::Running if record.is_model() => {
+                record.end(Refusal::new(ResultCode::Withdrawn, Outcome::Ran), now);
+                self.running -= 1;
+                let mut actions = vec![Action::Abort(key.clone()), Action::Wake(key.clone())];
+                actions.extend(self.fill(now));
+                actions
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Does what time brings: overdue requests are answered, old answers dropped.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for key in self.queue.take_overdue(now) {
+            if let Some(record) = self.records.get_mut(&key) {
+                record.end_not_run(Refusal::not_run(ResultCode::DeadlinePassed), now);
+                actions.push(Action::Wake(key));
+            }
+        }
+        self.records.retain(|_, record| !record.is_expired(now));
+        actions
+    }
+
+    /// Takes no new work from now on; what waits goes back as not run.
+    pub fn drain(&mut self, now: Instant) -> Vec<Action> {
+        self.leaving = true;
+        let mut actions = Vec::new();
+        for key in self.queue.drain() {
+            if let Some(record) = self.records.get_mut(&key) {
+                let refusal = Refusal::not_run(ResultCode::Draining).with_retry_after(RETRY_AFTER);
+                record.end_not_run(refusal, now);
+                actions.push(Action::Wake(key));
+            }
+        }
+        actions
+    }
+
+    /// What a reader of a request is due next.
+    pub fn read(&self, key: &RequestKey, cursor: &mut Cursor) -> ReadStep {
+        match self.records.get(key) {
+            Some(record) => record.transcript.read(cursor),
+            None => ReadStep::End,
+        }
+    }
+
+    /// Whether the request has been handed to the upstream.
+    pub fn is_handed_over(&self, key: &RequestKey) -> bool {
+        self.records.get(key).is_some_and(|record| record.state == State::Running)
+    }
+
+    /// Whether nothing waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.running == 0 && self.queue.is_empty()
+    }
+
+    /// Load at this moment.
+    pub fn load(&self) -> LoadDigest {
+        let mut load = LoadDigest {
+            queued: self.queue.len() as u32,
+            running: self.running,
+            limit: self.limit,
+            leaving: self.leaving,
+            ..LoadDigest::default()
+        };
+        for record in self.records.values() {
+            let Some(Work::Model(call)) = record.dispatch.as_deref().map(|d| &d.work) else {
+                continue;
+            };
+            match record.state {
+                State::Queued => {
+                    load.queued_prefill_tokens += u64::from(call.prompt_tokens);
+                    load.remaining_decode_tokens += u64::from(call.max_tokens);
+                }
+                State::Running => load.remaining_decode_tokens += u64::from(call.max_tokens),
+                _ => {}
+            }
+        }
+        load
+    }
+
+    /// The highest tier that waits.
+    pub fn next_tier(&self) -> Option<Tier> {
+        self.queue.next_tier()
+    }
+
+    fn fill(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.running < self.limit {
+            let Some(key) = self.queue.pop() else { break };
+            let Some(record) = self.records.get_mut(&key) else { continue };
+            if record.deadline <= now {
+                record.end_not_run(Refusal::not_run(ResultCode::DeadlinePassed), now);
+                actions.push(Action::Wake(key));
+                continue;
+            }
+            if let Some(dispatch) = record.start() {
+                self.running += 1;
+                actions.push(Action::Start(dispatch));
+            }
+        }
+        actions
+    }
+}
+
--- /dev/null
+++ b/components/agent/src/upstream/mod.rs
@@ -0,0 +1,23 @@
+//! Adapters to what stands behind an agent.
+
+mod engine;
+mod service;
+
+use async_trait::async_trait;
+use tokio::sync::mpsc;
+use wire::{Dispatch, RequestKey};
+
+use crate::core::UpstreamEvent;
+
+pub use engine::HttpEngine;
+pub use service::HttpService;
+
+/// A model engine or a plain service.
+#[async_trait]
+pub trait Upstream: Send + Sync {
+    /// Hands a request over; events arrive until one that ends the request.
+    async fn start(&self, dispatch: &Dispatch, events: mpsc::Sender<UpstreamEvent>);
+
+    /// Asks the upstream to stop working on a request.
+    async fn abort(&self, key: &RequestKey);
+}
--- /dev/null
+++ b/components/agent/src/upstream/service.rs
@@ -0,0 +1,86 @@
+//! A plain service over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::sync::mpsc;
+use web::{Client, ClientError, Request};
+use wire::{Dispatch, RequestKey, Work};
+
+use super::Upstream;
+use crate::core::UpstreamEvent;
+
+/// A service at an address.
+pub struct HttpService {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl HttpService {
+    /// The service at `address`, called through `client`.
+    pub fn new(client: Client, address: SocketAddr) -> HttpService {
+        HttpService { client, address }
+    }
+}
+
+#[async_trait]
+impl Upstream for HttpService {
+    async fn start(&self, dispatch: &Dispatch, events: mpsc::Sender<UpstreamEvent>) {
+        let Work::Service(call) = &dispatch.work else {
+            let reason = "a service takes service calls only".to_owned();
+            let _ = events.send(UpstreamEvent::NotReached(reason)).await;
+            return;
+        };
+        let mut request = Request::new(&call.method, &call.target)
+            .header("x-request-id", dispatch.key.request_id.as_str())
+            .body(call.body.clone());
+        if !call.content_type.is_empty() {
+            request = request.header("content-type", &call.content_type);
+        }
+        if !call.idempotency_key.is_empty() {
+            request = request.header("idempotency-key", &call.idempotency_key);
+        }
+        let patience = dispatch.time_left;
+        relay(&self.client, self.address, request, patience, events).await;
+    }
+
+    async fn abort(&self, _key: &RequestKey) {}
+}
+
+/// Sends a request and passes on what comes back, as it comes.
+pub(super) async fn relay(
+    client: &Client,
+    address: SocketAddr,
+    request: Request,
+    head_timeout: Duration,
+    events: mpsc::Sender<UpstreamEvent>,
+) {
+    let mut response = match client.send(address, request, head_timeout).await {
+        Ok(response) => response,
+        Err(ClientError::NotSent(reason)) => {
+            let _ = events.send(UpstreamEvent::NotReached(reason)).await;
+            return;
+        }
+        Err(ClientError::Unknown(reason)) => {
+            let _ = events.send(UpstreamEvent::Failed(reason)).await;
+            return;
+        }
+    };
+    let content_type = response.headers.get("content-type").unwrap_or_default().to_owned();
+    let started = UpstreamEvent::Started { status: response.status, content_type };
+    if events.send(started).await.is_err() {
+        return;
+    }
+    while let Some(piece) = response.body.recv().await {
+        let event = match piece {
+            Ok(bytes) => UpstreamEvent::Data(bytes),
+            Err(error) => UpstreamEvent::Failed(error.to_string()),
+        };
+        let ends = matches!(event, UpstreamEvent::Failed(_));
+        if events.send(event).await.is_err() || ends {
+            return;
+        }
+    }
+    let _ = events.send(UpstreamEvent::Finished).await;
+}
--- /dev/null
+++ b/components/clock/src/lib.rs
@@ -0,0 +1,67 @@
+//! The clock as an interface, so that decisions can be driven by a test's own time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Source of time for every decision.
+pub trait Clock: Send + Sync {
+    /// Monotonic time; for durations and deadlines.
+    fn now(&self) -> Instant;
+    /// Time of day; for records that people read.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The operating system's clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to.
+#[derive(Debug, Clone)]
+pub struct ManualClock {
+    origin: Instant,
+    elapsed_us: Arc<AtomicU64>,
+}
+
+impl ManualClock {
+    /// A clock that stands at its origin.
+    pub fn new() -> ManualClock {
+        ManualClock { origin: Instant::now(), elapsed_us: Arc::new(AtomicU64::new(0)) }
+    }
+
+    /// Moves the clock forward.
+    pub fn advance(&self, by: Duration) {
+        self.elapsed_us.fetch_add(by.as_micros() as u64, Ordering::SeqCst);
+    }
+
+    /// Time since the origin.
+    pub fn elapsed(&self) -> Duration {
+        Duration::from_micros(self.elapsed_us.load(Ordering::SeqCst))
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        ManualClock::new()
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.origin + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.elapsed()
+    }
+}
--- /dev/null
+++ b/components/entry/src/filters/admit.rs
@@ -0,0 +1,28 @@
+//! Whether this process takes work at all.
+
+use std::time::Duration;
+
+use errors::{Refusal, ResultCode};
+
+use super::{Exchange, Filter, Step};
+
+/// When to come back to another entry host.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Turns new work away on a planned stop.
+#[derive(Debug)]
+pub struct Admit;
+
+impl Filter for Admit {
+    fn name(&self) -> &'static str {
+        "admit"
+    }
+
+    fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
+        if exchange.view.draining {
+            let refusal = Refusal::not_run(ResultCode::Draining);
+            return Step::Answer(refusal.with_retry_after(RETRY_AFTER));
+        }
+        Step::Next
+    }
+}
--- /dev/null
+++ b/components/entry/src/filters/classify.rs
@@ -0,0 +1,193 @@
+//! What is asked: a model call or a call of a plain service, its tier and its deadline.
+
+use std::time::Duration;
+
+use configuration::{Customer, Document};
+use errors::{Refusal, ResultCode};
+use identity::{ModelId, ServiceId};
+use schedule::cost::estimate_tokens;
+use serde::Deserialize;
+use web::Request;
+use wire::{ModelCall, ServiceCall, Work};
+
+use super::identify::is_valid_id;
+use super::{Exchange, Filter, Job, Step};
+
+const COMPLETIONS_PATH: &str = "/v1/chat/completions";
+const SERVICES_PATH: &str = "/services/";
+
+/// Milliseconds that the caller is ready to wait.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// Understands the request.
+#[derive(Debug)]
+pub struct Classify;
+
+/// The part of a chat-completions body that the scheduler reads.
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+impl Filter for Classify {
+    fn name(&self) -> &'static str {
+        "classify"
+    }
+
+    fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
+        let document = &exchange.view.configuration.document;
+        let customer = exchange.customer.as_ref().and_then(|name| document.customers.get(name));
+        let Some(customer) = customer else {
+            return Step::Answer(Refusal::not_run(ResultCode::UnknownKey));
+        };
+        match understand(exchange.request, document, customer) {
+            Ok(job) => {
+                exchange.job = Some(job);
+                Step::Next
+            }
+            Err(refusal) => Step::Answer(refusal),
+        }
+    }
+}
+
+fn understand(
+    request: &Request,
+    document: &Document,
+    customer: &Customer,
+) -> Result<Job, Refusal> {
+    if request.body_cut || request.body.len() > document.requests.body_limit_bytes as usize {
+        let message =
+            format!("The body may have {} bytes at most.", document.requests.body_limit_bytes);
+        return Err(Refusal::not_run(ResultCode::BodyTooLarge).with_message(message));
+    }
+    let deadline = read_deadline(request, document)?;
+    if request.path == COMPLETIONS_PATH && request.method == "POST" {
+        return understand_model_call(request, document, customer, deadline);
+    }
+    match request.path.strip_prefix(SERVICES_PATH) {
+        Some(rest) => understand_service_call(request, document, customer, deadline, rest),
+        None => Err(Refusal::not_run(ResultCode::NotFound)),
+    }
+}
+
+fn read_deadline(request: &Request, document: &Document) -> Result<Duration, Refusal> {
+    let limits = &document.requests;
+    let Some(given) = request.headers.get(DEADLINE_HEADER) else {
+        return Ok(Duration::from_millis(limits.default_deadline_ms));
+    };
+    match given.parse::<u64>() {
+        Ok(ms) if (1..=limits.max_deadline_ms).contains(&ms) => Ok(Duration::from_millis(ms)),
+        _ => Err(out_of_range(format!(
+            "X-Deadline-Ms: given {given:?}, allowed 1 to {}",
+            limits.max_deadline_ms
+        ))),
+    }
+}
+
+fn understand_model_call(
+    request: &Request,
+    document: &Document,
+    customer: &Customer,
+    deadline: Duration,
+) -> Result<Job, Refusal> {
+    let body: CompletionBody = serde_json::from_slice(&request.body).map_err(|error| {
+        let code = if error.is_data() {
+            ResultCode::FieldOutOfRange
+        } else {
+            ResultCode::MalformedJson
+        };
+        Refusal::not_run(code).with_message(error.to_string())
+    })?;
+    let model = ModelId::new(body.model);
+    let (Some(limits), Some(grant)) = (document.models.get(&model), customer.models.get(&model))
+    else {
+        return Err(Refusal::not_run(ResultCode::UnknownModel));
+    };
+    let max_tokens = body.max_tokens.unwrap_or(limits.max_tokens);
+    if !(1..=limits.max_tokens).contains(&max_tokens) {
+        return Err(out_of_range(format!(
+            "max_tokens: given {max_tokens}, allowed 1 to {}",
+            limits.max_tokens
+        )));
+    }
+    let text_bytes: usize = body.messages.iter().map(|message| message.content.len()).sum();
+    let prompt_tokens = estimate_tokens(text_bytes);
+    if prompt_tokens.saturating_add(max_tokens) > limits.context_tokens {
+        return Err(out_of_range(format!(
+            "messages: about {prompt_tokens} tokens and {max_tokens} to generate, allowed {} together",
+            limits.context_tokens
+        )));
+    }
+    let call = ModelCall { model, body: request.body.clone(), prompt_tokens, max_tokens };
+    Ok(Job {
+        work: Work::Model(call),
+        tier: grant.tier,
+        once_only: false,
+        streamed: body.stream,
+        deadline,
+    })
+}
+
+fn understand_service_call(
+    request: &Request,
+    document: &Document,
+    customer: &Customer,
+    deadline: Duration,
+    rest: &str,
+) -> Result<Job, Refusal> {
+    let (name, path) = match rest.find('/') {
+        Some(slash) => rest.split_at(slash),
+        None => (rest, "/"),
+    };
+    let service = ServiceId::new(name);
+    if !customer.services.contains(&service) {
+        return Err(Refusal::not_run(ResultCode::UnknownService));
+    }
+    let rule = document
+        .find_rule(&service, &request.method, path)
+        .ok_or_else(|| Refusal::not_run(ResultCode::UnknownService))?;
+    let idempotency_key = request.headers.get("idempotency-key").unwrap_or_default();
+    if !rule.idempotent && idempotency_key.is_empty() {
+        return Err(Refusal::not_run(ResultCode::IdempotencyKeyRequired));
+    }
+    if !idempotency_key.is_empty() && !is_valid_id(idempotency_key) {
+        return Err(out_of_range(
+            "Idempotency-Key: allowed are 1 to 128 of A-Z a-z 0-9 . _ : -".to_owned(),
+        ));
+    }
+    let query = if request.query.is_empty() {
+        String::new()
+    } else {
+        format!("?{}", request.query)
+    };
+    let call = ServiceCall {
+        service,
+        method: request.method.clone(),
+        target: format!("{path}{query}"),
+        content_type: request.headers.get("content-type").unwrap_or_default().to_owned(),
+        idempotency_key: idempotency_key.to_owned(),
+        body: request.body.clone(),
+    };
+    Ok(Job {
+        work: Work::Service(call),
+        tier: rule.tier,
+        once_only: !rule.idempotent,
+        streamed: false,
+        deadline,
+    })
+}
+
+fn out_of_range(message: String) -> Refusal {
+    Refusal::not_run(ResultCode::FieldOutOfRange).with_message(message)
+}
--- /dev/null
+++ b/components/entry/src/filters/identify.rs
@@ -0,0 +1,50 @@
+//! Who asks: the customer by the bearer key, and the id of the request.
+
+use errors::{Refusal, ResultCode};
+use identity::RequestId;
+use wire::RequestKey;
+
+use super::{Exchange, Filter, Step};
+
+const BEARER: &str = "Bearer ";
+
+/// Longest id that a caller may choose.
+const REQUEST_ID_LIMIT_BYTES: usize = 128;
+
+/// Finds the customer and the request id.
+#[derive(Debug)]
+pub struct Identify;
+
+impl Filter for Identify {
+    fn name(&self) -> &'static str {
+        "identify"
+    }
+
+    fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
+        let headers = &exchange.request.headers;
+        let key = headers.get("authorization").and_then(|value| value.strip_prefix(BEARER));
+        let customer =
+            key.and_then(|key| exchange.view.configuration.customer_of_key(key.trim()));
+        let Some(customer) = customer.cloned() else {
+            return Step::Answer(Refusal::not_run(ResultCode::UnknownKey));
+        };
+        let request_id = match headers.get("x-request-id") {
+            None => RequestId::random(),
+            Some(given) if is_valid_id(given) => RequestId::new(given),
+            Some(_) => {
+                let message = "X-Request-Id: allowed are 1 to 128 of A-Z a-z 0-9 . _ : -";
+                let refusal = Refusal::not_run(ResultCode::FieldOutOfRange);
+                return Step::Answer(refusal.with_message(message));
+            }
+        };
+        exchange.key = Some(RequestKey { customer: customer.clone(), request_id });
+        exchange.customer = Some(customer);
+        Step::Next
+    }
+}
+
+/// Whether a caller's id or key can stand in logs, paths and store keys.
+pub(crate) fn is_valid_id(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._:-".contains(&byte);
+    (1..=REQUEST_ID_LIMIT_BYTES).contains(&text.len()) && text.bytes().all(allowed)
+}
--- /dev/null
+++ b/components/entry/src/filters/mod.rs
@@ -0,0 +1,140 @@
+//! The filters that a request passes, in order; each is a file.
+//!
+//! `identify`, `classify`, `limit`, `admit` and `place` look at the request before it is handed
+//! over; `dispatch` and `relay` follow it from there until its answer is whole.
+
+pub mod admit;
+pub mod classify;
+pub mod dispatch;
+pub mod identify;
+pub mod limit;
+pub mod place;
+pub mod relay;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use configuration::Snapshot;
+use errors::Refusal;
+use identity::{CustomerId, Tier, UpstreamId, ZoneId};
+use web::Request;
+use wire::{LoadDigest, RequestKey, Work};
+
+/// What the entry process last heard of an upstream's agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// Load as the agent told it.
+    pub load: LoadDigest,
+    /// When.
+    pub at: Instant,
+    /// Requests of this process in flight there.
+    pub own_outstanding: u32,
+    /// No new work goes there.
+    pub leaving: bool,
+    /// The agent does not answer.
+    pub unreachable: bool,
+}
+
+/// What filters read; a whole new one is published at each change.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// The configuration in force.
+    pub configuration: Arc<Snapshot>,
+    /// What was heard of agents.
+    pub heard: BTreeMap<UpstreamId, Heard>,
+    /// The availability zone of this process.
+    pub zone: ZoneId,
+    /// This process takes no new work.
+    pub draining: bool,
+}
+
+/// A request on its way through the filters.
+#[derive(Debug)]
+pub struct Exchange<'a> {
+    /// What the caller sent.
+    pub request: &'a Request,
+    /// State to decide by.
+    pub view: &'a View,
+    /// The time of the decision.
+    pub now: Instant,
+    /// Set by `identify`.
+    pub customer: Option<CustomerId>,
+    /// Set by `identify`.
+    pub key: Option<RequestKey>,
+    /// Set by `classify`.
+    pub job: Option<Job>,
+    /// Upstreams that were tried and refused.
+    pub excluded: &'a [UpstreamId],
+    /// Set by `place`.
+    pub upstream: Option<UpstreamId>,
+}
+
+/// A request as `classify` understands it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// What is to be done.
+    pub work: Work,
+    /// Importance.
+    pub tier: Tier,
+    /// Running it twice would be wrong.
+    pub once_only: bool,
+    /// The caller wants the answer piece by piece.
+    pub streamed: bool,
+    /// Time from arrival until the answer is worthless.
+    pub deadline: Duration,
+}
+
+/// What a filter decided.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// On to the next filter.
+    Next,
+    /// The request ends here.
+    Answer(Refusal),
+}
+
+/// A filter.
+pub trait Filter: Send + Sync {
+    /// Its name in logs and explanations.
+    fn name(&self) -> &'static str;
+
+    /// Looks at the request and says whether it goes on.
+    fn apply(&self, exchange: &mut Exchange<'_>) -> Step;
+}
+
+/// The filters before a request is handed over, in order.
+pub struct Chain {
+    filters: Vec<Box<dyn Filter>>,
+}
+
+impl Chain {
+    /// The chain of the product.
+    pub fn new() -> Chain {
+        Chain {
+            filters: vec![
+                Box::new(identify::Identify),
+                Box::new(classify::Classify),
+                Box::new(limit::Limit::default()),
+                Box::new(admit::Admit),
+                Box::new(place::Place),
+            ],
+        }
+    }
+
+    /// Runs every filter until one ends the request; names the filter that did.
+    pub fn run(&self, exchange: &mut Exchange<'_>) -> Result<(), (&'static str, Refusal)> {
+        for filter in &self.filters {
+            if let Step::Answer(refusal) = filter.apply(exchange) {
+                return Err((filter.name(), refusal));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Default for Chain {
+    fn default() -> Self {
+        Chain::new()
+    }
+}
--- /dev/null
+++ b/components/entry/src/filters/place.rs
@@ -0,0 +1,114 @@
+//! Where the request goes: the fitting upstream that is expected to finish it first.
+
+use std::time::Duration;
+
+use configuration::{Document, Upstream, UpstreamKind};
+use errors::{Refusal, ResultCode};
+use identity::UpstreamId;
+use schedule::cost::{Size, Speed};
+use schedule::placement::{Candidate, Placement, place};
+use wire::Work;
+
+use super::{Exchange, Filter, Step, View};
+
+/// Round trip within a region.
+const NEAR: Duration = Duration::from_millis(1);
+
+/// Round trip between regions.
+const FAR: Duration = Duration::from_millis(10);
+
+/// When to come back where nothing fits at the moment.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Chooses the upstream.
+#[derive(Debug)]
+pub struct Place;
+
+impl Filter for Place {
+    fn name(&self) -> &'static str {
+        "place"
+    }
+
+    fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
+        let Some(job) = &exchange.job else { return Step::Next };
+        let candidates = find_candidates(exchange.view, &job.work, exchange.excluded);
+        match place(&candidates, size_of(&job.work)) {
+            Placement::Upstream { upstream, .. } => {
+                exchange.upstream = Some(upstream.clone());
+                Step::Next
+            }
+            Placement::NoUpstream => {
+                let refusal = Refusal::not_run(ResultCode::NoUpstream);
+                Step::Answer(refusal.with_retry_after(RETRY_AFTER))
+            }
+        }
+    }
+}
+
+fn size_of(work: &Work) -> Size {
+    match work {
+        Work::Model(call) => {
+            Size { prompt_tokens: call.prompt_tokens, max_tokens: call.max_tokens }
+        }
+        Work::Service(_) => Size { prompt_tokens: 0, max_tokens: 1 },
+    }
+}
+
+/// Every upstream that could do the work now.
+fn find_candidates<'a>(
+    view: &'a View,
+    work: &Work,
+    excluded: &[UpstreamId],
+) -> Vec<Candidate<'a>> {
+    let document = &view.configuration.document;
+    document
+        .upstreams
+        .iter()
+        .filter(|(name, _)| !excluded.contains(name))
+        .filter(|(name, _)| is_open(view, name))
+        .filter_map(|(name, upstream)| candidate(view, document, name, upstream, work))
+        .collect()
+}
+
+fn is_open(view: &View, name: &UpstreamId) -> bool {
+    view.heard.get(name).is_none_or(|heard| !heard.leaving && !heard.unreachable)
+}
+
+fn candidate<'a>(
+    view: &'a View,
+    document: &Document,
+    name: &'a UpstreamId,
+    upstream: &Upstream,
+    work: &Work,
+) -> Option<Candidate<'a>> {
+    let (speed, slots) = match (&upstream.kind, work) {
+        (
+            UpstreamKind::Engine { models, prefill_tokens_per_s, decode_tokens_per_s, slots },
+            Work::Model(call),
+        ) if models.contains(&call.model) => (
+            Speed {
+                prefill_tokens_per_s: *prefill_tokens_per_s,
+                decode_tokens_per_s: *decode_tokens_per_s,
+            },
+            *slots,
+        ),
+        (UpstreamKind::Service { service, slots }, Work::Service(call))
+            if *service == call.service =>
+        {
+            (Speed { prefill_tokens_per_s: 1, decode_tokens_per_s: 1 }, *slots)
+        }
+        _ => return None,
+    };
+    let heard = view.heard.get(name);
+    let load = heard.map(|heard| heard.load).unwrap_or_default();
+    let own = heard.map_or(0, |heard| heard.own_outstanding);
+    let near = document.region_of(&upstream.zone) == document.region_of(&view.zone);
+    Some(Candidate {
+        upstream: name,
+        speed,
+        outstanding: own.max(load.queued + load.running),
+        slots,
+        queued_prefill_tokens: load.queued_prefill_tokens,
+        distance: if near { NEAR } else { FAR },
+    })
+}
--- /dev/null
+++ b/components/entry/src/filters/relay.rs
@@ -0,0 +1,72 @@
+//! Puts an answer together: every byte once, in order, or a gap that is seen.
+
+use bytes::Bytes;
+use errors::Refusal;
+use wire::AnswerEvent;
+
+/// How far an answer has been taken.
+#[derive(Debug, Default)]
+pub struct Relay {
+    offset_bytes: u64,
+    started: bool,
+}
+
+/// What a piece of an answer amounts to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Taken {
+    /// Nothing new.
+    Nothing,
+    /// The head of the answer.
+    Head {
+        /// HTTP status of the upstream.
+        status: u16,
+        /// Content type of the answer.
+        content_type: String,
+    },
+    /// New bytes.
+    Piece(Bytes),
+    /// The answer is whole.
+    Whole,
+    /// Bytes are missing before this event.
+    Gap,
+    /// There is no answer, or no more of it.
+    Refused(Refusal),
+}
+
+impl Relay {
+    /// Bytes taken so far.
+    pub fn offset_bytes(&self) -> u64 {
+        self.offset_bytes
+    }
+
+    /// Takes the next event of the answer.
+    pub fn take(&mut self, event: AnswerEvent) -> Taken {
+        match event {
+            AnswerEvent::Started { .. } if self.started => Taken::Nothing,
+            AnswerEvent::Started { status, content_type } => {
+                self.started = true;
+                Taken::Head { status, content_type }
+            }
+            AnswerEvent::Data { offset_bytes, bytes } => self.take_data(offset_bytes, &bytes),
+            AnswerEvent::Progress { .. } => Taken::Nothing,
+            AnswerEvent::Finished { total_bytes } if total_bytes == self.offset_bytes => {
+                Taken::Whole
+            }
+            AnswerEvent::Finished { .. } => Taken::Gap,
+            AnswerEvent::Refused(refusal) => Taken::Refused(refusal),
+        }
+    }
+
+    fn take_data(&mut self, offset_bytes: u64, bytes: &Bytes) -> Taken {
+        if offset_bytes > self.offset_bytes {
+            return Taken::Gap;
+        }
+        let repeated = (self.offset_bytes - offset_bytes) as usize;
+        if repeated >= bytes.len() {
+            return Taken::Nothing;
+        }
+        let fresh = bytes.slice(repeated..);
+        self.offset_bytes += fresh.len() as u64;
+        Taken::Piece(fresh)
+    }
+}
--- /dev/null
+++ b/components/entry/src/shell/mod.rs
@@ -0,0 +1,159 @@
+//! Sockets and tasks around filters and controllers.
+
+mod agents;
+mod callers;
+mod metrics;
+mod operators;
+mod refresh;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clock::Clock;
+use configuration::InForce;
+use identity::UpstreamId;
+use log::info;
+use platform::{HostList, HttpHostList, HttpStore, KeyValueStore};
+use tokio::task::JoinHandle;
+use web::{Client, Server, ServerHandle};
+
+use crate::filters::{Chain, Heard, View};
+use crate::{PlatformSettings, Settings};
+use metrics::Metrics;
+
+/// Largest body that is read before the configuration's own limit is applied.
+const BODY_READ_LIMIT_BYTES: usize = 8 << 20;
+
+/// How often a draining process looks whether it is idle.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// An entry process that is about to run.
+pub struct Entry {
+    /// Its settings.
+    pub settings: Settings,
+    /// The clock that it goes by.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// An entry process that runs.
+pub struct EntryHandle {
+    shared: Arc<Shared>,
+    callers: ServerHandle,
+    operators: ServerHandle,
+    refresher: JoinHandle<()>,
+}
+
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) store: Arc<dyn KeyValueStore>,
+    pub(crate) host_list: Arc<dyn HostList>,
+    pub(crate) in_force: InForce,
+    pub(crate) chain: Chain,
+    pub(crate) agents: agents::Agents,
+    pub(crate) metrics: Metrics,
+    pub(crate) draining: AtomicBool,
+    pub(crate) in_flight: AtomicU32,
+    heard: Mutex<BTreeMap<UpstreamId, Heard>>,
+}
+
+impl Entry {
+    /// Binds both listeners and starts to serve; needs a tokio runtime.
+    pub async fn spawn(self) -> Result<EntryHandle> {
+        let client = Client::spawn()?;
+        let PlatformSettings::Http { store, host_list } = self.settings.platform;
+        let shared = Arc::new(Shared {
+            clock: self.clock,
+            store: Arc::new(HttpStore::new(client.clone(), store)),
+            host_list: Arc::new(HttpHostList::new(client, host_list)),
+            in_force: InForce::new(),
+            chain: Chain::new(),
+            agents: agents::Agents::default(),
+            metrics: Metrics::new()?,
+            draining: AtomicBool::new(false),
+            in_flight: AtomicU32::new(0),
+            heard: Mutex::default(),
+            settings: self.settings,
+        });
+        let runtime = tokio::runtime::Handle::current();
+        let callers = Server {
+            address: shared.settings.listen,
+            workers: shared.settings.workers as usize,
+            body_limit_bytes: BODY_READ_LIMIT_BYTES,
+        }
+        .bind(Arc::new(callers::Callers::new(shared.clone(), runtime.clone())))
+        .context("listen")?;
+        let operators = Server {
+            address: shared.settings.operators_listen,
+            workers: 1,
+            body_limit_bytes: BODY_READ_LIMIT_BYTES,
+        }
+        .bind(Arc::new(operators::Operators::new(shared.clone(), runtime)))
+        .context("operators_listen")?;
+        let refresher = tokio::spawn(refresh::run(shared.clone()));
+        info!("entry listen={} operators={}", callers.address(), operators.address());
+        Ok(EntryHandle { shared, callers, operators, refresher })
+    }
+}
+
+impl EntryHandle {
+    /// The address for callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// The address for operators.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Stops gracefully: takes no new work, finishes what is in flight, then ends.
+    pub async fn stop(self) {
+        self.shared.draining.store(true, Ordering::SeqCst);
+        info!("entry drains");
+        while self.shared.in_flight.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.refresher.abort();
+        let (callers, operators) = (self.callers, self.operators);
+        let stopped = tokio::task::spawn_blocking(move || {
+            callers.stop(true);
+            operators.stop(false);
+        });
+        let _ = stopped.await;
+    }
+}
+
+impl Shared {
+    /// What the filters read at this moment; `None` before the first configuration.
+    pub(crate) fn view(&self) -> Option<View> {
+        Some(View {
+            configuration: self.in_force.load()?,
+            heard: self.heard().clone(),
+            zone: self.settings.zone.clone(),
+            draining: self.draining.load(Ordering::SeqCst),
+        })
+    }
+
+    pub(crate) fn heard(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Heard>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what is held of an upstream.
+    pub(crate) fn update_heard(&self, upstream: &UpstreamId, change: impl FnOnce(&mut Heard)) {
+        let now = self.clock.now();
+        let mut heard = self.heard();
+        let entry = heard.entry(upstream.clone()).or_insert_with(|| Heard {
+            load: wire::LoadDigest::default(),
+            at: now,
+            own_outstanding: 0,
+            leaving: false,
+            unreachable: false,
+        });
+        change(entry);
+    }
+}
--- /dev/null
+++ b/components/errors/src/code.rs
@@ -0,0 +1,101 @@
+//! Result codes: a number, a name, a sentence and the HTTP status of each.
+
+use serde::{Deserialize, Serialize};
+
+/// What became of the work behind a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The work was never handed to an upstream and never will be.
+    NotRun,
+    /// The work ran, wholly or in part.
+    Ran,
+    /// Nobody can say whether the work ran.
+    Unknown,
+}
+
+impl Outcome {
+    /// The word used in error bodies.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not_run",
+            Outcome::Ran => "ran",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+macro_rules! result_codes {
+    ($($variant:ident = $number:literal, $status:literal, $name:literal, $sentence:literal;)*) => {
+        /// A numbered result code.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum ResultCode {
+            $(#[doc = $sentence] $variant,)*
+        }
+
+        impl ResultCode {
+            /// Every code, in the order of its number.
+            pub const ALL: &'static [ResultCode] = &[$(ResultCode::$variant,)*];
+
+            /// The number that callers and scripts see.
+            pub fn number(self) -> u32 {
+                match self { $(ResultCode::$variant => $number,)* }
+            }
+
+            /// The name that stands beside the number.
+            pub fn name(self) -> &'static str {
+                match self { $(ResultCode::$variant => $name,)* }
+            }
+
+            /// A plain sentence for people.
+            pub fn sentence(self) -> &'static str {
+                match self { $(ResultCode::$variant => $sentence,)* }
+            }
+
+            /// The HTTP status that carries the code.
+            pub fn http_status(self) -> u16 {
+                match self { $(ResultCode::$variant => $status,)* }
+            }
+        }
+    };
+}
+
+result_codes! {
+    MalformedJson = 1001, 400, "malformed_json", "The body is not valid JSON.";
+    FieldOutOfRange = 1002, 400, "field_out_of_range", "A field is missing or outside its allowed range.";
+    BodyTooLarge = 1003, 413, "body_too_large", "The body is larger than the configured limit.";
+    UnknownModel = 1004, 404, "unknown_model", "No such model is configured for this customer.";
+    UnknownService = 1005, 404, "unknown_service", "No such service or call is configured.";
+    IdempotencyKeyRequired = 1006, 400, "idempotency_key_required", "This call is not idempotent and needs an Idempotency-Key header.";
+    IdempotencyKeyReused = 1007, 409, "idempotency_key_reused", "The key was used before with another body.";
+    NotFound = 1008, 404, "not_found", "There is nothing at this address.";
+    UnknownKey = 1101, 401, "unknown_key", "The bearer key is missing or belongs to no customer.";
+    NotPermitted = 1102, 403, "not_permitted", "The customer may not make this call.";
+    LimitReached = 2001, 429, "limit_reached", "The customer's limit is used up for now.";
+    Overloaded = 2002, 503, "overloaded", "No fitting upstream can serve this in time.";
+    Preempted = 2003, 503, "preempted", "More important work took the place of this request.";
+    DeadlinePassed = 2004, 504, "deadline_passed", "The request cannot finish within its deadline.";
+    NoUpstream = 2005, 503, "no_upstream", "No fitting upstream is known to be running.";
+    Draining = 2006, 503, "draining", "This process is stopping and takes no new work.";
+    ConfigurationMissing = 2007, 503, "configuration_missing", "No configuration has been received yet.";
+    RetryBudgetSpent = 2008, 503, "retry_budget_spent", "Too many requests are being placed again at the moment.";
+    UpstreamFailed = 3001, 502, "upstream_failed", "The upstream failed while it worked on the request.";
+    UpstreamLost = 3002, 504, "upstream_lost", "Contact with the upstream was lost after the request was handed over.";
+    AlreadyRunning = 3003, 409, "already_running", "The same request is being worked on.";
+    AlreadyRan = 3004, 409, "already_ran", "The same request ran before and its answer is no longer held.";
+    Withdrawn = 3005, 409, "withdrawn", "The request was withdrawn before it was handed over.";
+    StaleFencingToken = 3006, 409, "stale_fencing_token", "The order carries an older fencing token than one already seen.";
+    AnswerBroken = 3007, 502, "answer_broken", "The answer arrived with a gap that could not be filled.";
+    StoreUnavailable = 4001, 503, "store_unavailable", "The platform's key-value service does not answer.";
+    VersionConflict = 4002, 409, "version_conflict", "The configuration has moved on from the stated version.";
+    PatchRejected = 4003, 422, "patch_rejected", "The patch does not apply, or what it makes does not pass the checks.";
+    WriteUnknown = 4004, 504, "write_unknown", "The store did not say whether the write took effect.";
+    Internal = 5001, 500, "internal", "The process met a condition it does not handle.";
+}
+
+impl ResultCode {
+    /// Finds the code of a number that came over the wire.
+    pub fn from_number(number: u32) -> Option<ResultCode> {
+        ResultCode::ALL.iter().copied().find(|code| code.number() == number)
+    }
+}
--- /dev/null
+++ b/components/platform/src/http_store.rs
@@ -0,0 +1,145 @@
+//! Key-value service over HTTP, as the project's stand-in speaks it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use web::{Client, ClientError, Request};
+
+use crate::{
+    KeyValueStore, LeaseId, Revision, StoreError, SwapResult, Versioned, WatchReply,
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const HTTP_OK: u16 = 200;
+const HTTP_NOT_FOUND: u16 = 404;
+const HTTP_CONFLICT: u16 = 409;
+const HTTP_TOO_MANY: u16 = 429;
+const THROTTLED_WAIT: Duration = Duration::from_millis(200);
+
+/// The service at an address.
+#[derive(Clone)]
+pub struct HttpStore {
+    client: Client,
+    address: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Written {
+    revision: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct Conflicting {
+    revision: Option<Revision>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Granted {
+    lease: LeaseId,
+}
+
+impl HttpStore {
+    /// The service at `address`, called through `client`.
+    pub fn new(client: Client, address: SocketAddr) -> HttpStore {
+        HttpStore { client, address }
+    }
+
+    async fn call(
+        &self,
+        request: Request,
+        patience: Duration,
+    ) -> Result<(u16, Bytes), StoreError> {
+        let exchange = async {
+            let mut response = self.client.send(self.address, request, patience).await?;
+            let body = response.read().await?;
+            Ok::<_, ClientError>((response.status, body))
+        };
+        let (status, body) = tokio::time::timeout(patience, exchange)
+            .await
+            .map_err(|_| StoreError::Unknown("no answer in time".to_owned()))?
+            .map_err(|error| match error {
+                ClientError::NotSent(reason) => StoreError::Unavailable(reason),
+                ClientError::Unknown(reason) => StoreError::Unknown(reason),
+            })?;
+        match status {
+            HTTP_OK | HTTP_NOT_FOUND | HTTP_CONFLICT => Ok((status, body)),
+            HTTP_TOO_MANY => Err(StoreError::Throttled(THROTTLED_WAIT)),
+            other => Err(StoreError::Unavailable(format!("status {other}"))),
+        }
+    }
+
+    async fn swap_call(&self, request: Request) -> Result<SwapResult, StoreError> {
+        let (status, body) = self.call(request, CALL_TIMEOUT).await?;
+        if status == HTTP_OK {
+            Ok(SwapResult::Written(parse::<Written>(&body)?.revision))
+        } else {
+            Ok(SwapResult::Conflict(parse::<Conflicting>(&body)?.revision))
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body)
+        .map_err(|error| StoreError::Unknown(format!("answer not understood: {error}")))
+}
+
+#[async_trait]
+impl KeyValueStore for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let request = Request::new("GET", &format!("/kv?key={key}"));
+        let (status, body) = self.call(request, CALL_TIMEOUT).await?;
+        if status == HTTP_NOT_FOUND { Ok(None) } else { parse(&body).map(Some) }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Versioned>, StoreError> {
+        let request = Request::new("GET", &format!("/kv?prefix={prefix}"));
+        let (_, body) = self.call(request, CALL_TIMEOUT).await?;
+        parse(&body)
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Option<Revision>,
+        value: &str,
+        lease: Option<LeaseId>,
+    ) -> Result<SwapResult, StoreError> {
+        let expected = expected.map_or(0, |revision| revision.0);
+        let lease = lease.map_or(String::new(), |lease| format!("&lease={}", lease.0));
+        let target = format!("/kv?key={key}&expected={expected}{lease}");
+        self.swap_call(Request::new("PUT", &target).body(value.to_owned())).await
+    }
+
+    async fn delete(&self, key: &str, expected: Revision) -> Result<SwapResult, StoreError> {
+        let target = format!("/kv?key={key}&expected={}", expected.0);
+        self.swap_call(Request::new("DELETE", &target)).await
+    }
+
+    async fn grant_lease(&self, duration: Duration) -> Result<LeaseId, StoreError> {
+        let target = format!("/leases?duration_ms={}", duration.as_millis());
+        let (_, body) = self.call(Request::new("POST", &target), CALL_TIMEOUT).await?;
+        parse::<Granted>(&body).map(|granted| granted.lease)
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        let target = format!("/leases?lease={}", lease.0);
+        let (status, _) = self.call(Request::new("PUT", &target), CALL_TIMEOUT).await?;
+        Ok(status == HTTP_OK)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchReply, StoreError> {
+        let target =
+            format!("/watch?prefix={prefix}&after={}&wait_ms={}", after.0, wait.as_millis());
+        let (_, body) = self.call(Request::new("GET", &target), wait + CALL_TIMEOUT).await?;
+        parse(&body)
+    }
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,58 @@
+//! Settings files: JSON, unknown keys refused, each fault named by file and path of the key.
+
+use std::fs;
+use std::path::Path;
+
+use anyhow::{Context, Result, bail};
+use schemars::{JsonSchema, schema_for};
+use serde::de::DeserializeOwned;
+
+/// Settings that can check themselves after they were read.
+pub trait Checked {
+    /// Lists each fault as the path of the key, what was given and what is allowed.
+    fn faults(&self) -> Vec<String>;
+}
+
+/// Reads and checks a settings file.
+pub fn load<T: DeserializeOwned + Checked>(path: &Path) -> Result<T> {
+    let text = fs::read_to_string(path)
+        .with_context(|| format!("{}: cannot be read", path.display()))?;
+    parse(&path.display().to_string(), &text)
+}
+
+/// Parses and checks settings; `source` names them in errors.
+pub fn parse<T: DeserializeOwned + Checked>(source: &str, text: &str) -> Result<T> {
+    let deserializer = &mut serde_json::Deserializer::from_str(text);
+    let settings: T = match serde_path_to_error::deserialize(deserializer) {
+        Ok(settings) => settings,
+        Err(error) => bail!("{source}: {}: {}", error.path(), error.inner()),
+    };
+    let faults = settings.faults();
+    if !faults.is_empty() {
+        let lines: Vec<String> =
+            faults.iter().map(|fault| format!("{source}: {fault}")).collect();
+        bail!("{}", lines.join("\n"));
+    }
+    Ok(settings)
+}
+
+/// The JSON Schema of a settings type, as pretty text.
+pub fn describe<T: JsonSchema>() -> String {
+    serde_json::to_string_pretty(&schema_for!(T)).unwrap_or_default()
+}
+
+/// Adds a fault when a number is outside its range.
+pub fn check_range(
+    faults: &mut Vec<String>,
+    key: &str,
+    given: u64,
+    allowed: std::ops::RangeInclusive<u64>,
+) {
+    if !allowed.contains(&given) {
+        faults.push(format!(
+            "{key}: given {given}, allowed {} to {}",
+            allowed.start(),
+            allowed.end()
+        ));
+    }
+}
--- /dev/null
+++ b/components/wire/src/convert.rs
@@ -0,0 +1,239 @@
+//! Conversions between wire messages and domain forms.
+
+use std::fmt;
+use std::time::Duration;
+
+use errors::{Outcome, Refusal, ResultCode};
+use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+
+use crate::event::{AnswerEvent, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work};
+use crate::v1;
+
+/// A message that makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WireError {
+    /// A part that must be there is not.
+    Missing(&'static str),
+    /// A number that stands for nothing.
+    OutOfRange(&'static str, u64),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WireError::Missing(part) => write!(f, "{part} is missing"),
+            WireError::OutOfRange(part, given) => write!(f, "{part}: {given} stands for nothing"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl From<&RequestKey> for v1::RequestKey {
+    fn from(key: &RequestKey) -> Self {
+        v1::RequestKey {
+            customer: key.customer.as_str().to_owned(),
+            request_id: key.request_id.as_str().to_owned(),
+        }
+    }
+}
+
+impl From<v1::RequestKey> for RequestKey {
+    fn from(key: v1::RequestKey) -> Self {
+        RequestKey {
+            customer: CustomerId::new(key.customer),
+            request_id: RequestId::new(key.request_id),
+        }
+    }
+}
+
+impl From<&Dispatch> for v1::DispatchRequest {
+    fn from(dispatch: &Dispatch) -> Self {
+        v1::DispatchRequest {
+            key: Some((&dispatch.key).into()),
+            dispatch_epoch: dispatch.epoch.0,
+            tier: dispatch.tier.0.into(),
+            time_left_ms: dispatch.time_left.as_millis() as u64,
+            configuration_version: dispatch.config_version.0,
+            work: Some((&dispatch.work).into()),
+        }
+    }
+}
+
+impl TryFrom<v1::DispatchRequest> for Dispatch {
+    type Error = WireError;
+
+    fn try_from(request: v1::DispatchRequest) -> Result<Self, WireError> {
+        let tier = u8::try_from(request.tier)
+            .map_err(|_| WireError::OutOfRange("tier", request.tier.into()))?;
+        Ok(Dispatch {
+            key: request.key.ok_or(WireError::Missing("key"))?.into(),
+            epoch: DispatchEpoch(request.dispatch_epoch),
+            tier: Tier(tier),
+            time_left: Duration::from_millis(request.time_left_ms),
+            config_version: ConfigVersion(request.configuration_version),
+            work: request.work.ok_or(WireError::Missing("work"))?.into(),
+        })
+    }
+}
+
+impl From<&Work> for v1::dispatch_request::Work {
+    fn from(work: &Work) -> Self {
+        match work {
+            Work::Model(call) => v1::dispatch_request::Work::Model(v1::ModelCall {
+                model: call.model.as_str().to_owned(),
+                body: call.body.clone(),
+                prompt_tokens: call.prompt_tokens,
+                max_tokens: call.max_tokens,
+            }),
+            Work::Service(call) => v1::dispatch_request::Work::Service(v1::ServiceCall {
+                service: call.service.as_str().to_owned(),
+                method: call.method.clone(),
+                target: call.target.clone(),
+                content_type: call.content_type.clone(),
+                idempotency_key: call.idempotency_key.clone(),
+                body: call.body.clone(),
+            }),
+        }
+    }
+}
+
+impl From<v1::dispatch_request::Work> for Work {
+    fn from(work: v1::dispatch_request::Work) -> Self {
+        match work {
+            v1::dispatch_request::Work::Model(call) => Work::Model(ModelCall {
+                model: ModelId::new(call.model),
+                body: call.body,
+                prompt_tokens: call.prompt_tokens,
+                max_tokens: call.max_tokens,
+            }),
+            v1::dispatch_request::Work::Service(call) => Work::Service(ServiceCall {
+                service: ServiceId::new(call.service),
+                method: call.method,
+                target: call.target,
+                content_type: call.content_type,
+                idempotency_key: call.idempotency_key,
+                body: call.body,
+            }),
+        }
+    }
+}
+
+impl From<LoadDigest> for v1::LoadDigest {
+    fn from(load: LoadDigest) -> Self {
+        v1::LoadDigest {
+            queued: load.queued,
+            running: load.running,
+            limit: load.limit,
+            leaving: load.leaving,
+            queued_prefill_tokens: load.queued_prefill_tokens,
+            remaining_decode_tokens: load.remaining_decode_tokens,
+            prefill_tokens_per_s: load.prefill_tokens_per_s,
+            decode_tokens_per_s: load.decode_tokens_per_s,
+        }
+    }
+}
+
+impl From<v1::LoadDigest> for LoadDigest {
+    fn from(load: v1::LoadDigest) -> Self {
+        LoadDigest {
+            queued: load.queued,
+            running: load.running,
+            limit: load.limit,
+            leaving: load.leaving,
+            queued_prefill_tokens: load.queued_prefill_tokens,
+            remaining_decode_tokens: load.remaining_decode_tokens,
+            prefill_tokens_per_s: load.prefill_tokens_per_s,
+            decode_tokens_per_s: load.decode_tokens_per_s,
+        }
+    }
+}
+
+impl From<&AnswerEvent> for v1::dispatch_event::Event {
+    fn from(event: &AnswerEvent) -> Self {
+        use v1::dispatch_event::Event;
+        match event {
+            AnswerEvent::Started { status, content_type } => Event::Started(v1::Started {
+                status: (*status).into(),
+                content_type: content_type.clone(),
+            }),
+            AnswerEvent::Data { offset_bytes, bytes } => {
+                Event::Data(v1::Data { offset_bytes: *offset_bytes, bytes: bytes.clone() })
+            }
+            AnswerEvent::Progress { handed_over } => {
+                Event::Progress(v1::Progress { handed_over: *handed_over })
+            }
+            AnswerEvent::Finished { total_bytes } => {
+                Event::Finished(v1::Finished { total_bytes: *total_bytes })
+            }
+            AnswerEvent::Refused(refusal) => Event::Refused(refusal.into()),
+        }
+    }
+}
+
+impl TryFrom<v1::dispatch_event::Event> for AnswerEvent {
+    type Error = WireError;
+
+    fn try_from(event: v1::dispatch_event::Event) -> Result<Self, WireError> {
+        use v1::dispatch_event::Event;
+        Ok(match event {
+            Event::Started(started) => AnswerEvent::Started {
+                status: u16::try_from(started.status)
+                    .map_err(|_| WireError::OutOfRange("status", started.status.into()))?,
+                content_type: started.content_type,
+            },
+            Event::Data(data) => {
+                AnswerEvent::Data { offset_bytes: data.offset_bytes, bytes: data.bytes }
+            }
+            Event::Progress(progress) => {
+                AnswerEvent::Progress { handed_over: progress.handed_over }
+            }
+            Event::Finished(finished) => {
+                AnswerEvent::Finished { total_bytes: finished.total_bytes }
+            }
+            Event::Refused(refused) => AnswerEvent::Refused(refused.try_into()?),
+        })
+    }
+}
+
+const OUTCOME_NOT_RUN: u32 = 1;
+const OUTCOME_RAN: u32 = 2;
+const OUTCOME_UNKNOWN: u32 = 3;
+
+impl From<&Refusal> for v1::Refused {
+    fn from(refusal: &Refusal) -> Self {
+        let outcome = match refusal.outcome {
+            Outcome::NotRun => OUTCOME_NOT_RUN,
+            Outcome::Ran => OUTCOME_RAN,
+            Outcome::Unknown => OUTCOME_UNKNOWN,
+        };
+        v1::Refused {
+            code: refusal.code.number(),
+            outcome,
+            message: refusal.message.clone(),
+            retry_after_ms: refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64),
+        }
+    }
+}
+
+impl TryFrom<v1::Refused> for Refusal {
+    type Error = WireError;
+
+    fn try_from(refused: v1::Refused) -> Result<Self, WireError> {
+        let code = ResultCode::from_number(refused.code)
+            .ok_or(WireError::OutOfRange("code", refused.code.into()))?;
+        let outcome = match refused.outcome {
+            OUTCOME_NOT_RUN => Outcome::NotRun,
+            OUTCOME_RAN => Outcome::Ran,
+            OUTCOME_UNKNOWN => Outcome::Unknown,
+            other => return Err(WireError::OutOfRange("outcome", other.into())),
+        };
+        let wait = Duration::from_millis(refused.retry_after_ms);
+        Ok(Refusal {
+            code,
+            outcome,
+            message: refused.message,
+            retry_after: (!wait.is_zero()).then_some(wait),
+        })
+    }
+}
--- /dev/null
+++ b/components/wire/src/event.rs
@@ -0,0 +1,124 @@
+//! Domain forms of what passes between an entry process and an agent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::Refusal;
+use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+
+/// A request is known by its customer and its id together.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestKey {
+    /// The customer who asked.
+    pub customer: CustomerId,
+    /// The id, unique for that customer.
+    pub request_id: RequestId,
+}
+
+/// A request as it is handed to an agent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Dispatch {
+    /// Which request.
+    pub key: RequestKey,
+    /// Orders attempts to hand over one request.
+    pub epoch: DispatchEpoch,
+    /// Importance.
+    pub tier: Tier,
+    /// Time left until the caller's deadline.
+    pub time_left: Duration,
+    /// The configuration that the sender decided by.
+    pub config_version: ConfigVersion,
+    /// What is to be done.
+    pub work: Work,
+}
+
+/// What is to be done for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Work {
+    /// A call of a model.
+    Model(ModelCall),
+    /// A call of a plain service.
+    Service(ServiceCall),
+}
+
+/// A call of a model.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelCall {
+    /// The model.
+    pub model: ModelId,
+    /// Chat-completions JSON as the caller sent it.
+    pub body: Bytes,
+    /// Estimated length of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens that may be generated.
+    pub max_tokens: u32,
+}
+
+/// A call of a plain service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceCall {
+    /// The service.
+    pub service: ServiceId,
+    /// HTTP method.
+    pub method: String,
+    /// Path below the service's name, with its query.
+    pub target: String,
+    /// Content type of the body; empty where there is none.
+    pub content_type: String,
+    /// Idempotency key; empty where the call needs none.
+    pub idempotency_key: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Load of an agent at the time of a message.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadDigest {
+    /// Requests that wait at the agent.
+    pub queued: u32,
+    /// Requests that the upstream works on.
+    pub running: u32,
+    /// Most requests that the agent hands over at once.
+    pub limit: u32,
+    /// The agent takes no new work.
+    pub leaving: bool,
+    /// Prompt tokens of waiting requests.
+    pub queued_prefill_tokens: u64,
+    /// Tokens that waiting and running requests may still generate.
+    pub remaining_decode_tokens: u64,
+    /// Observed prompt speed; 0 while unknown.
+    pub prefill_tokens_per_s: u32,
+    /// Observed speed of generation for one request; 0 while unknown.
+    pub decode_tokens_per_s: u32,
+}
+
+/// What an agent says of one request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AnswerEvent {
+    /// The upstream has begun to answer.
+    Started {
+        /// HTTP status of the upstream.
+        status: u16,
+        /// Content type of the answer.
+        content_type: String,
+    },
+    /// A piece of the answer.
+    Data {
+        /// Bytes of the answer before this piece.
+        offset_bytes: u64,
+        /// The piece.
+        bytes: Bytes,
+    },
+    /// Nothing to tell, but the agent is alive and holds the request.
+    Progress {
+        /// The request has been handed to the upstream.
+        handed_over: bool,
+    },
+    /// The answer is whole.
+    Finished {
+        /// Length of the whole answer.
+        total_bytes: u64,
+    },
+    /// There is no answer, or no more of it.
+    Refused(Refusal),
+}
