--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -91,13 +91,7 @@
 impl Core {
     /// An agent that hands over at most `limit` requests at once.
     pub fn new(limit: u32) -> Core {
-        Core {
-            limit,
-            running: 0,
-            leaving: false,
-            queue: Queue::new(),
-            records: HashMap::new(),
-        }
+        Core { limit, running: 0, leaving: false, queue: Queue::new(), records: HashMap::new() }
     }
 
     /// Takes a request, or says why not.
@@ -259,4 +253,3 @@
         actions
     }
 }
-
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -66,9 +66,7 @@
     pub async fn spawn(self) -> Result<AgentHandle> {
         let client = Client::spawn()?;
         let upstream: Arc<dyn Upstream> = match &self.settings.adapter {
-            UpstreamSettings::HttpEngine { address } => {
-                Arc::new(HttpEngine::new(client, *address))
-            }
+            UpstreamSettings::HttpEngine { address } => Arc::new(HttpEngine::new(client, *address)),
             UpstreamSettings::HttpService { address } => {
                 Arc::new(HttpService::new(client, *address))
             }
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -54,8 +54,7 @@
     ) -> Result<Response<EventStream>, Status> {
         let dispatch: Dispatch = request.into_inner().try_into().map_err(invalid)?;
         let key = dispatch.key.clone();
-        let (admission, actions) =
-            self.shared.core().dispatch(dispatch, self.shared.clock.now());
+        let (admission, actions) = self.shared.core().dispatch(dispatch, self.shared.clock.now());
         self.shared.perform(actions);
         let stream = match admission {
             Admission::Held => self.read_from(key, 0),
--- a/components/configuration/src/document.rs
+++ b/components/configuration/src/document.rs
@@ -160,10 +160,7 @@
 impl Document {
     /// The region that holds an availability zone.
     pub fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
-        self.regions
-            .iter()
-            .find(|(_, region)| region.zones.contains(zone))
-            .map(|(name, _)| name)
+        self.regions.iter().find(|(_, region)| region.zones.contains(zone)).map(|(name, _)| name)
     }
 
     /// The first rule of a service that fits a call.
--- a/components/entry/src/controllers/configuration/mod.rs
+++ b/components/entry/src/controllers/configuration/mod.rs
@@ -87,9 +87,8 @@
     stored: &Stored,
     submission: &Submission,
 ) -> Result<Stored, Refusal> {
-    let text = serde_json::to_string(stored).map_err(|error| {
-        Refusal::not_run(ResultCode::Internal).with_message(error.to_string())
-    })?;
+    let text = serde_json::to_string(stored)
+        .map_err(|error| Refusal::not_run(ResultCode::Internal).with_message(error.to_string()))?;
     match store.swap(CURRENT_KEY, expected, &text, None).await {
         Ok(SwapResult::Written(_)) => Ok(stored.clone()),
         Ok(SwapResult::Conflict(_)) | Err(StoreError::Unknown(_)) => {
--- a/components/entry/src/filters/classify.rs
+++ b/components/entry/src/filters/classify.rs
@@ -61,11 +61,7 @@
     }
 }
 
-fn understand(
-    request: &Request,
-    document: &Document,
-    customer: &Customer,
-) -> Result<Job, Refusal> {
+fn understand(request: &Request, document: &Document, customer: &Customer) -> Result<Job, Refusal> {
     if request.body_cut || request.body.len() > document.requests.body_limit_bytes as usize {
         let message =
             format!("The body may have {} bytes at most.", document.requests.body_limit_bytes);
@@ -102,11 +98,8 @@
     deadline: Duration,
 ) -> Result<Job, Refusal> {
     let body: CompletionBody = serde_json::from_slice(&request.body).map_err(|error| {
-        let code = if error.is_data() {
-            ResultCode::FieldOutOfRange
-        } else {
-            ResultCode::MalformedJson
-        };
+        let code =
+            if error.is_data() { ResultCode::FieldOutOfRange } else { ResultCode::MalformedJson };
         Refusal::not_run(code).with_message(error.to_string())
     })?;
     let model = ModelId::new(body.model);
@@ -166,11 +159,8 @@
             "Idempotency-Key: allowed are 1 to 128 of A-Z a-z 0-9 . _ : -".to_owned(),
         ));
     }
-    let query = if request.query.is_empty() {
-        String::new()
-    } else {
-        format!("?{}", request.query)
-    };
+    let query =
+        if request.query.is_empty() { String::new() } else { format!("?{}", request.query) };
     let call = ServiceCall {
         service,
         method: request.method.clone(),
--- a/components/entry/src/filters/identify.rs
+++ b/components/entry/src/filters/identify.rs
@@ -23,8 +23,7 @@
     fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
         let headers = &exchange.request.headers;
         let key = headers.get("authorization").and_then(|value| value.strip_prefix(BEARER));
-        let customer =
-            key.and_then(|key| exchange.view.configuration.customer_of_key(key.trim()));
+        let customer = key.and_then(|key| exchange.view.configuration.customer_of_key(key.trim()));
         let Some(customer) = customer.cloned() else {
             return Step::Answer(Refusal::not_run(ResultCode::UnknownKey));
         };
--- a/components/entry/src/filters/mod.rs
+++ b/components/entry/src/filters/mod.rs
@@ -70,6 +70,22 @@
     pub upstream: Option<UpstreamId>,
 }
 
+impl<'a> Exchange<'a> {
+    /// A request that no filter has seen.
+    pub fn new(request: &'a Request, view: &'a View, now: Instant) -> Exchange<'a> {
+        Exchange {
+            request,
+            view,
+            now,
+            customer: None,
+            key: None,
+            job: None,
+            excluded: &[],
+            upstream: None,
+        }
+    }
+}
+
 /// A request as `classify` understands it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
@@ -106,6 +122,7 @@
 /// The filters before a request is handed over, in order.
 pub struct Chain {
     filters: Vec<Box<dyn Filter>>,
+    place: place::Place,
 }
 
 impl Chain {
@@ -117,8 +134,8 @@
                 Box::new(classify::Classify),
                 Box::new(limit::Limit::default()),
                 Box::new(admit::Admit),
-                Box::new(place::Place),
             ],
+            place: place::Place,
         }
     }
 
@@ -129,7 +146,15 @@
                 return Err((filter.name(), refusal));
             }
         }
-        Ok(())
+        self.place_again(exchange)
+    }
+
+    /// Runs the last filter alone, for a request that was admitted before.
+    pub fn place_again(&self, exchange: &mut Exchange<'_>) -> Result<(), (&'static str, Refusal)> {
+        match self.place.apply(exchange) {
+            Step::Next => Ok(()),
+            Step::Answer(refusal) => Err((self.place.name(), refusal)),
+        }
     }
 }
 
--- a/components/entry/src/filters/place.rs
+++ b/components/entry/src/filters/place.rs
@@ -55,11 +55,7 @@
 }
 
 /// Every upstream that could do the work now.
-fn find_candidates<'a>(
-    view: &'a View,
-    work: &Work,
-    excluded: &[UpstreamId],
-) -> Vec<Candidate<'a>> {
+fn find_candidates<'a>(view: &'a View, work: &Work, excluded: &[UpstreamId]) -> Vec<Candidate<'a>> {
     let document = &view.configuration.document;
     document
         .upstreams
--- a/components/entry/src/shell/callers.rs
+++ b/components/entry/src/shell/callers.rs
@@ -17,7 +17,7 @@
 
 use super::Shared;
 use crate::filters::dispatch::{Dispatch, Event, Next};
-use crate::filters::{Exchange, Job};
+use crate::filters::{Exchange, Job, View};
 
 /// How long an agent may say nothing before contact counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
@@ -25,6 +25,9 @@
 /// How long an agent may take to say what became of a request.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// When to come back to a process that has no configuration yet.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+
 /// Pieces of an answer that wait for their caller.
 const ANSWER_QUEUE: usize = 32;
 
@@ -105,7 +108,7 @@
     ) {
         let arrived = shared.clock.now();
         let id = request.headers.get("x-request-id").unwrap_or_default().to_owned();
-        let placed = place(&shared, &request, arrived, &[]);
+        let placed = place(&shared, &request, arrived);
         let (key, job, upstream) = match placed {
             Ok(placed) => placed,
             Err(refusal) => {
@@ -138,8 +141,8 @@
             let End::PlaceAgain = end else { return self.finish(end, &upstream) };
             self.excluded.push(upstream);
             self.epoch = DispatchEpoch(self.epoch.0 + 1);
-            match place(&self.shared, &self.request, self.arrived, &self.excluded) {
-                Ok((_, _, next)) => upstream = next,
+            match self.place_again() {
+                Ok(next) => upstream = next,
                 Err(refusal) => {
                     let last = self.excluded.last().cloned();
                     let name = last.unwrap_or_else(|| UpstreamId::new(""));
@@ -225,10 +228,8 @@
     /// Asks the agent, on a new connection, what became of the request.
     async fn ask(&self, upstream: &UpstreamId) -> Event {
         let Some(mut agent) = self.fresh_client(upstream) else { return Event::NotAsked };
-        let request = v1::SettleRequest {
-            key: Some((&self.key).into()),
-            dispatch_epoch: self.epoch.0,
-        };
+        let request =
+            v1::SettleRequest { key: Some((&self.key).into()), dispatch_epoch: self.epoch.0 };
         let answer = tokio::time::timeout(ASK_TIMEOUT, agent.settle(request)).await;
         let Ok(Ok(reply)) = answer else {
             tokio::time::sleep(ASK_TIMEOUT / 4).await;
@@ -236,9 +237,9 @@
         };
         match reply.into_inner().state() {
             v1::RequestState::Withdrawn | v1::RequestState::NotRun => Event::NeverRun,
-            v1::RequestState::Queued
-            | v1::RequestState::Running
-            | v1::RequestState::Finished => Event::Known,
+            v1::RequestState::Queued | v1::RequestState::Running | v1::RequestState::Finished => {
+                Event::Known
+            }
             v1::RequestState::Unspecified => Event::NotAsked,
         }
     }
@@ -264,6 +265,17 @@
         }
     }
 
+    fn place_again(&self) -> Result<UpstreamId, Refusal> {
+        let view = read_view(&self.shared)?;
+        let mut exchange = Exchange {
+            excluded: &self.excluded,
+            job: Some(self.job.clone()),
+            ..Exchange::new(&self.request, &view, self.shared.clock.now())
+        };
+        self.shared.chain.place_again(&mut exchange).map_err(|(_, refusal)| refusal)?;
+        exchange.upstream.ok_or_else(|| Refusal::not_run(ResultCode::Internal))
+    }
+
     fn client(
         &self,
         upstream: &UpstreamId,
@@ -334,26 +346,9 @@
 
 type Placed = (RequestKey, Job, UpstreamId);
 
-fn place(
-    shared: &Shared,
-    request: &Request,
-    arrived: Instant,
-    excluded: &[UpstreamId],
-) -> Result<Placed, Refusal> {
-    let view = shared.view().ok_or_else(|| {
-        Refusal::not_run(ResultCode::ConfigurationMissing)
-            .with_retry_after(Duration::from_secs(1))
-    })?;
-    let mut exchange = Exchange {
-        request,
-        view: &view,
-        now: arrived,
-        customer: None,
-        key: None,
-        job: None,
-        excluded,
-        upstream: None,
-    };
+fn place(shared: &Shared, request: &Request, arrived: Instant) -> Result<Placed, Refusal> {
+    let view = read_view(shared)?;
+    let mut exchange = Exchange::new(request, &view, arrived);
     shared.chain.run(&mut exchange).map_err(|(_, refusal)| refusal)?;
     match (exchange.key, exchange.job, exchange.upstream) {
         (Some(key), Some(job), Some(upstream)) => Ok((key, job, upstream)),
@@ -361,6 +356,12 @@
     }
 }
 
+fn read_view(shared: &Shared) -> Result<View, Refusal> {
+    shared.view().ok_or_else(|| {
+        Refusal::not_run(ResultCode::ConfigurationMissing).with_retry_after(CONFIGURATION_WAIT)
+    })
+}
+
 async fn timed<T>(call: impl Future<Output = T>) -> Option<T> {
     tokio::time::timeout(SILENCE_LIMIT, call).await.ok()
 }
--- a/components/generate/src/main.rs
+++ b/components/generate/src/main.rs
@@ -9,9 +9,6 @@
 
 fn main() -> Result<()> {
     let descriptors = protox::compile([PROTO_FILE], [PROTO_FOLDER])?;
-    tonic_prost_build::configure()
-        .bytes(".")
-        .out_dir(OUT_FOLDER)
-        .compile_fds(descriptors)?;
+    tonic_prost_build::configure().bytes(".").out_dir(OUT_FOLDER).compile_fds(descriptors)?;
     Ok(())
 }
--- a/components/platform/src/http_store.rs
+++ b/components/platform/src/http_store.rs
@@ -9,9 +9,7 @@
 use serde::de::DeserializeOwned;
 use web::{Client, ClientError, Request};
 
-use crate::{
-    KeyValueStore, LeaseId, Revision, StoreError, SwapResult, Versioned, WatchReply,
-};
+use crate::{KeyValueStore, LeaseId, Revision, StoreError, SwapResult, Versioned, WatchReply};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const HTTP_OK: u16 = 200;
@@ -48,11 +46,7 @@
         HttpStore { client, address }
     }
 
-    async fn call(
-        &self,
-        request: Request,
-        patience: Duration,
-    ) -> Result<(u16, Bytes), StoreError> {
+    async fn call(&self, request: Request, patience: Duration) -> Result<(u16, Bytes), StoreError> {
         let exchange = async {
             let mut response = self.client.send(self.address, request, patience).await?;
             let body = response.read().await?;
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -15,8 +15,8 @@
 
 /// Reads and checks a settings file.
 pub fn load<T: DeserializeOwned + Checked>(path: &Path) -> Result<T> {
-    let text = fs::read_to_string(path)
-        .with_context(|| format!("{}: cannot be read", path.display()))?;
+    let text =
+        fs::read_to_string(path).with_context(|| format!("{}: cannot be read", path.display()))?;
     parse(&path.display().to_string(), &text)
 }
 
@@ -29,8 +29,7 @@
     };
     let faults = settings.faults();
     if !faults.is_empty() {
-        let lines: Vec<String> =
-            faults.iter().map(|fault| format!("{source}: {fault}")).collect();
+        let lines: Vec<String> = faults.iter().map(|fault| format!("{source}: {fault}")).collect();
         bail!("{}", lines.join("\n"));
     }
     Ok(settings)
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -57,8 +57,8 @@
         let (started, start) = std::sync::mpsc::channel::<Result<()>>();
         let limit = self.body_limit_bytes;
         let workers = self.workers;
-        let thread = thread::Builder::new().name(format!("http-{}", address.port())).spawn(
-            move || {
+        let thread =
+            thread::Builder::new().name(format!("http-{}", address.port())).spawn(move || {
                 let system = ntex::rt::System::new("http", ntex::rt::DefaultRuntime);
                 system.block_on(async move {
                     let server = match build_server(listener, workers, limit, handler) {
@@ -72,8 +72,7 @@
                     let graceful = stopped.recv().await.unwrap_or(false);
                     server.stop(graceful).await;
                 });
-            },
-        )?;
+            })?;
         start.recv().map_err(|_| anyhow!("the server thread ended at start"))??;
         Ok(ServerHandle { address, stop, thread: Some(thread) })
     }
@@ -112,9 +111,11 @@
     .workers(workers)
     .disable_signals()
     .shutdown_timeout(SHUTDOWN_TIMEOUT)
-    .config(SharedCfg::new("http").add(
-        HttpServiceConfig::new().set_client_timeout(HEAD_TIMEOUT).set_keepalive(Seconds(75)),
-    ))
+    .config(
+        SharedCfg::new("http").add(
+            HttpServiceConfig::new().set_client_timeout(HEAD_TIMEOUT).set_keepalive(Seconds(75)),
+        ),
+    )
     .listen(listener)?
     .run();
     Ok(server)
@@ -183,4 +184,3 @@
         }
     }
 }
-
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,3 @@
-pub fn x(){}
+//! The programs of dragonflyfront; each is a thin binary over `cmd`.
+
+pub mod cmd;
