--- /dev/null
+++ b/components/measure/src/events.rs
@@ -0,0 +1,49 @@
+//! Bytes of the messages between agent and entry.
+
+use anyhow::Result;
+use bytes::Bytes;
+use prost::Message;
+use wire::v1;
+
+const PIECE_BYTES: usize = 120;
+
+pub(crate) fn measure() -> Result<()> {
+    let key = v1::RequestKey {
+        customer: "customer-12345".to_owned(),
+        request_id: "0123456789abcdef0123456789abcdef".to_owned(),
+    };
+    let load = v1::LoadDigest {
+        queued: 12,
+        running: 48,
+        limit: 64,
+        leaving: false,
+        queued_prefill_tokens: 250_000,
+        remaining_decode_tokens: 40_000,
+        prefill_tokens_per_s: 8_000,
+        decode_tokens_per_s: 40,
+    };
+    let data = v1::dispatch_event::Event::Data(v1::Data {
+        offset_bytes: 30_000,
+        bytes: Bytes::from(vec![b'y'; PIECE_BYTES]),
+    });
+    let event = v1::DispatchEvent {
+        key: Some(key.clone()),
+        dispatch_epoch: 1,
+        load: Some(load),
+        event: Some(data.clone()),
+    };
+    let without_load = v1::DispatchEvent { load: None, ..event.clone() };
+    let report = v1::ReportReply {
+        upstream: "engine-123".to_owned(),
+        process: "0123456789abcdef0123456789abcdef".to_owned(),
+        configuration_version: 100_000,
+        load: Some(load),
+        ..v1::ReportReply::default()
+    };
+    println!("piece of an answer                 {PIECE_BYTES} bytes");
+    println!("event with load digest             {} bytes", event.encoded_len());
+    println!("event without load digest          {} bytes", without_load.encoded_len());
+    println!("load digest                        {} bytes", load.encoded_len());
+    println!("report                             {} bytes", report.encoded_len());
+    Ok(())
+}
