--- a/components/measure/src/events.rs
+++ b/components/measure/src/events.rs
@@ -38,7 +38,6 @@
         process: "0123456789abcdef0123456789abcdef".to_owned(),
         configuration_version: 100_000,
         load: Some(load),
-        ..v1::ReportReply::default()
     };
     println!("piece of an answer                 {PIECE_BYTES} bytes");
     println!("event with load digest             {} bytes", event.encoded_len());
