Start the programs as separate processes for tests, with faults

Ruled out: a container or namespace harness (not wanted by the users); signals through nix, since rustix was in the tree already; faults inside the product's code.

Change: components/scenario with Fleet (starts entry, agents and stand-ins on port 0 from a Plan, kills, freezes, terminates, starts again on the same address, ends every child on drop), Relay (cuts, refuses, or goes silent for the connections that are open), callers that follow a stream.

Conclusion: a stream survives a connection that goes silent for good; other parts can build on it.

--- /dev/null
+++ b/components/scenario/src/lib.rs
@@ -0,0 +1,17 @@
+//! A fleet of real processes on loopback, for tests: started, faulted, asked and ended.
+//!
+//! The product does not depend on this component; it is the only one that starts processes.
+
+mod answer;
+mod caller;
+mod fleet;
+mod plan;
+mod process;
+mod relay;
+
+pub use answer::Answer;
+pub use caller::{Booking, ModelRequest, Pending};
+pub use fleet::{Fleet, Programs};
+pub use plan::{EnginePlan, Plan, ServicePlan, key_of};
+pub use process::Process;
+pub use relay::{Direction, Relay};
--- /dev/null
+++ b/components/scenario/src/plan.rs
@@ -0,0 +1,157 @@
+//! What a fleet is made of, and the settings and configuration that follow from it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+/// The model that every engine serves unless the plan says otherwise.
+pub(crate) const MODEL: &str = "listing-7b";
+
+/// The service of every service worker.
+pub(crate) const SERVICE: &str = "desk";
+
+/// Customers and the tier of their model requests.
+const CUSTOMERS: [(&str, u8); 4] = [("gate", 0), ("referee", 1), ("seller", 2), ("tagger", 3)];
+
+/// What a fleet is made of.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Plan {
+    /// Regions and their availability zones; the first region is the main one.
+    pub regions: BTreeMap<String, Vec<String>>,
+    /// Entry processes and their availability zones.
+    pub entries: BTreeMap<String, String>,
+    /// Engines, each with an agent.
+    pub engines: BTreeMap<String, EnginePlan>,
+    /// Service workers, each with an agent.
+    pub services: BTreeMap<String, ServicePlan>,
+    /// How long the host list lags.
+    pub host_list_lag_ms: u64,
+    /// Requests a second of each customer.
+    pub requests_per_s: u32,
+}
+
+/// An engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EnginePlan {
+    /// Its availability zone.
+    pub zone: String,
+    /// Prompt tokens a second.
+    pub prefill_tokens_per_s: u32,
+    /// Generated tokens a second.
+    pub decode_tokens_per_s: u32,
+    /// Requests in flight.
+    pub slots: u32,
+}
+
+/// A service worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ServicePlan {
+    /// Its availability zone.
+    pub zone: String,
+    /// How long a call takes.
+    pub delay_ms: u64,
+    /// Calls in flight.
+    pub slots: u32,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        let zone = "riga-a".to_owned();
+        let slow = EnginePlan {
+            prefill_tokens_per_s: 4_000,
+            decode_tokens_per_s: 25,
+            ..EnginePlan::default()
+        };
+        Plan {
+            regions: BTreeMap::from([("riga".to_owned(), vec![zone.clone(), "riga-b".to_owned()])]),
+            entries: BTreeMap::from([
+                ("entry-1".to_owned(), zone.clone()),
+                ("entry-2".to_owned(), zone),
+            ]),
+            engines: BTreeMap::from([
+                ("fast".to_owned(), EnginePlan::default()),
+                ("slow".to_owned(), slow),
+            ]),
+            services: BTreeMap::from([("desk".to_owned(), ServicePlan::default())]),
+            host_list_lag_ms: 0,
+            requests_per_s: 1_000,
+        }
+    }
+}
+
+impl Default for EnginePlan {
+    fn default() -> Self {
+        EnginePlan {
+            zone: "riga-a".to_owned(),
+            prefill_tokens_per_s: 20_000,
+            decode_tokens_per_s: 80,
+            slots: 8,
+        }
+    }
+}
+
+impl Default for ServicePlan {
+    fn default() -> Self {
+        ServicePlan { zone: "riga-a".to_owned(), delay_ms: 20, slots: 8 }
+    }
+}
+
+/// The bearer key of a customer.
+pub fn key_of(customer: &str) -> String {
+    format!("{customer}-key")
+}
+
+impl Plan {
+    /// The names of all upstreams, which are the names of their hosts too.
+    pub(crate) fn upstreams(&self) -> impl Iterator<Item = &str> {
+        self.engines.keys().chain(self.services.keys()).map(String::as_str)
+    }
+
+    /// The configuration document, with agents at the given addresses.
+    pub(crate) fn configuration(&self, agents: &BTreeMap<String, SocketAddr>) -> Value {
+        let upstream = |name: &str, zone: &str, kind: Value| {
+            let agent = agents.get(name);
+            (name.to_owned(), json!({ "host": name, "zone": zone, "agent": agent, "kind": kind }))
+        };
+        let engines = self.engines.iter().map(|(name, engine)| {
+            let kind = json!({ "engine": {
+                "models": [MODEL],
+                "prefill_tokens_per_s": engine.prefill_tokens_per_s,
+                "decode_tokens_per_s": engine.decode_tokens_per_s,
+                "slots": engine.slots } });
+            upstream(name, &engine.zone, kind)
+        });
+        let services = self.services.iter().map(|(name, service)| {
+            let kind = json!({ "service": { "service": SERVICE, "slots": service.slots } });
+            upstream(name, &service.zone, kind)
+        });
+        let upstreams: BTreeMap<String, Value> = engines.chain(services).collect();
+        let regions: BTreeMap<&String, Value> =
+            self.regions.iter().map(|(name, zones)| (name, json!({ "zones": zones }))).collect();
+        json!({
+            "regions": regions,
+            "models": { MODEL: { "context_tokens": 32_768, "max_tokens": 4_096 } },
+            "services": { SERVICE: { "calls": [
+                { "method": "POST", "path_prefix": "/bookings", "idempotent": false, "tier": 1 },
+                { "method": "GET", "path_prefix": "/", "idempotent": true, "tier": 1 } ] } },
+            "upstreams": upstreams,
+            "customers": self.customers(),
+        })
+    }
+
+    fn customers(&self) -> BTreeMap<&'static str, Value> {
+        let region = self.regions.keys().next();
+        let customer = |tier: u8, name: &str| {
+            let hash = hex::encode(Sha256::digest(key_of(name)));
+            json!({ "key_sha256": [hash], "region": region, "services": [SERVICE],
+                "models": { MODEL: { "tier": tier } }, "requests_per_s": self.requests_per_s })
+        };
+        CUSTOMERS.iter().map(|(name, tier)| (*name, customer(*tier, name))).collect()
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,66 @@
+//! The programs as separate processes: answered, frozen, silenced and ended.
+
+use std::time::Duration;
+
+use scenario::{Booking, Direction, Fleet, ModelRequest, Plan, Programs};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn start() -> Fleet {
+    let programs = Programs {
+        entry: env!("CARGO_BIN_EXE_dragonflyfront-entry").into(),
+        agent: env!("CARGO_BIN_EXE_dragonflyfront-agent").into(),
+        standin: env!("CARGO_BIN_EXE_dragonflyfront-standin").into(),
+    };
+    Fleet::spawn(programs, Plan::default()).expect("fleet")
+}
+
+#[test]
+fn whole_path_serves_streams_and_bookings() {
+    let mut fleet = start();
+    let asked = ModelRequest { id: "listing-1".to_owned(), ..ModelRequest::default() };
+    let answer = fleet.ask("entry-1", &asked).unwrap().wait(LIMIT);
+    assert!(answer.is_done(), "{answer:?}");
+    assert_eq!(answer.tokens(), 16);
+    assert_eq!(answer.request_id, "listing-1");
+
+    let booking = Booking { key: "pitch-a17".to_owned(), ..Booking::default() };
+    let answer = fleet.book("entry-2", &booking).unwrap().wait(LIMIT);
+    assert_eq!(answer.status, 201, "{answer:?}");
+    assert_eq!(fleet.runs_everywhere().unwrap().get("pitch-a17"), Some(&1));
+
+    assert_eq!(fleet.stop("agent fast", LIMIT).unwrap(), Some(0));
+    fleet.restart("agent fast").unwrap();
+    assert_eq!(fleet.stop("entry-1", LIMIT).unwrap(), Some(0));
+}
+
+#[test]
+fn frozen_engine_says_nothing_until_it_is_thawed() {
+    let mut fleet = start();
+    let asked = ModelRequest { tokens: 60, ..ModelRequest::default() };
+    let pending = fleet.ask("entry-1", &asked).unwrap();
+    assert!(pending.wait_for_tokens(3, LIMIT));
+    let engines = ["engine fast", "engine slow"];
+    for engine in engines {
+        fleet.process(engine).unwrap().freeze().unwrap();
+    }
+    assert!(!pending.wait_for_tokens(60, Duration::from_secs(2)));
+    for engine in engines {
+        fleet.process(engine).unwrap().thaw().unwrap();
+    }
+    assert!(pending.wait(LIMIT).is_done());
+}
+
+#[test]
+fn silenced_link_takes_new_connections() {
+    let fleet = start();
+    let asked = ModelRequest { tokens: 100, ..ModelRequest::default() };
+    let pending = fleet.ask("entry-1", &asked).unwrap();
+    assert!(pending.wait_for_tokens(3, LIMIT));
+    for link in ["to fast", "to slow"] {
+        fleet.link(link).unwrap().silence(Direction::Backward);
+    }
+    let answer = pending.wait(LIMIT);
+    assert!(answer.is_done(), "{answer:?}");
+    assert_eq!(answer.tokens(), 100);
+}
