Run scripted scenarios by name with a seed, on engine stand-ins that batch and cache

Ruled out: a data form (no loops or draws), a parser of our own, hooks for faults in the product, a program of its own (it would not find the binaries that another package built).

Change: calls over Fleet in rhai; tests/scenarios runs all scripts or one by name with a seed and prints a trace; scripts listed in KNOWN-RED.txt run and are printed. The engine stand-in batches continuously, caches prefixes in bounded memory, resumes from an offset, reports late and with gaps, takes orders with or without fencing, and can freeze or slow down; each token names its prompt, so a crossed answer shows. A weight store with a rate cap; a service that loses replies.

--- a/components/scenario/src/answer.rs
+++ b/components/scenario/src/answer.rs
@@ -18,6 +18,8 @@
     pub broken: Option<String>,
     /// The body ended by itself.
     pub ended: bool,
+    /// The text that the engine generates for this request.
+    pub expected: String,
 }
 
 impl Answer {
@@ -43,6 +45,17 @@
             && self.events().last().is_some_and(|event| event == STREAM_END)
     }
 
+    /// Whether a model answer came whole and is the answer to this very request.
+    pub fn is_whole(&self) -> bool {
+        let ended = self.is_done() || (self.status == 200 && self.body.starts_with('{'));
+        ended && self.broken.is_none() && self.text() == self.expected
+    }
+
+    /// Whether any part of a model answer is not the start of the answer to this request.
+    pub fn is_crossed(&self) -> bool {
+        !self.expected.starts_with(&self.text())
+    }
+
     /// The body as JSON; null where it is none.
     pub fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or_default()
--- a/components/scenario/src/caller.rs
+++ b/components/scenario/src/caller.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use standin::engine::expected_text;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use web::{Client, Request};
@@ -84,6 +85,13 @@
     }
 }
 
+impl ModelRequest {
+    /// The text that an engine generates for it.
+    pub fn expected_text(&self) -> String {
+        expected_text(&self.text, self.tokens)
+    }
+}
+
 impl From<&ModelRequest> for Request {
     fn from(asked: &ModelRequest) -> Request {
         let key = if asked.key.is_empty() { key_of(&asked.customer) } else { asked.key.clone() };
@@ -148,8 +156,9 @@
         client: Client,
         address: SocketAddr,
         request: Request,
+        expected: String,
     ) -> Pending {
-        let answer = Arc::new(Mutex::new(Answer::default()));
+        let answer = Arc::new(Mutex::new(Answer { expected, ..Answer::default() }));
         let (sender, grown) = watch::channel(false);
         let task = runtime.spawn(follow(client, address, request, answer.clone(), sender));
         Pending { followed: Arc::new(Followed { answer, grown, task }), runtime: runtime.clone() }
--- a/components/scenario/src/fleet.rs
+++ b/components/scenario/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use anyhow::{Context, Result, ensure};
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
@@ -39,6 +40,20 @@
     pub standin: PathBuf,
 }
 
+/// A patch as an operator submits it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Submission {
+    /// The version that the patch was made against.
+    pub against_version: u64,
+    /// Who submits.
+    pub author: String,
+    /// Drawn by the operator for this patch.
+    pub patch_id: String,
+    /// The patch.
+    pub patch: Value,
+}
+
 /// How a process was started, so that it can be started again.
 #[derive(Debug, Clone)]
 struct Command {
@@ -87,7 +102,13 @@
         fleet.start_upstreams()?;
         fleet.start_entries()?;
         let document = fleet.plan.configuration(&fleet.agent_addresses());
-        let answer = fleet.patch(&fleet.first_entry()?, 0, "fleet", "fleet-1", document)?;
+        let first = Submission {
+            author: "fleet".to_owned(),
+            patch_id: "fleet-1".to_owned(),
+            against_version: 0,
+            patch: document,
+        };
+        let answer = fleet.patch(&fleet.first_entry()?, &first)?;
         ensure!(answer.0 == 200, "first configuration: {} {}", answer.0, answer.1);
         fleet.wait_until_ready()?;
         Ok(fleet)
@@ -116,7 +137,7 @@
     /// SIGKILL.
     pub fn kill(&mut self, name: &str) -> Result<()> {
         self.process(name)?.kill()?;
-        self.processes.remove(name);
+        self.forget(name);
         Ok(())
     }
 
@@ -125,7 +146,7 @@
         let process = self.process(name)?;
         process.terminate()?;
         let Some(status) = process.wait_for_exit(limit)? else { return Ok(None) };
-        self.processes.remove(name);
+        self.forget(name);
         Ok(Some(status.code().unwrap_or(-1)))
     }
 
@@ -134,37 +155,33 @@
         let command = self.commands.get(name).with_context(|| format!("{name:?} never ran"))?;
         let process = Process::spawn(&command.program, &command.arguments, &self.log_path(name))?;
         self.processes.insert(name.to_owned(), process);
+        if let Some(link) = self.link_before(name) {
+            link.mend();
+        }
         Ok(())
     }
 
     /// Sends a model request.
     pub fn ask(&self, entry: &str, asked: &ModelRequest) -> Result<Pending> {
-        self.send(entry, asked.into())
+        self.send(self.address(entry)?, asked.into(), asked.expected_text())
     }
 
     /// Sends a booking.
     pub fn book(&self, entry: &str, booking: &Booking) -> Result<Pending> {
-        self.send(entry, booking.into())
+        self.send(self.address(entry)?, booking.into(), String::new())
     }
 
-    /// Sends any request to an entry process's callers' address.
-    pub fn send(&self, entry: &str, request: Request) -> Result<Pending> {
-        let address = self.address(entry)?;
-        Ok(Pending::spawn(self.runtime.handle(), self.client.clone(), address, request))
+    /// Submits a patch without waiting for the answer.
+    pub fn submit(&self, entry: &str, submission: &Submission) -> Result<Pending> {
+        let request =
+            Request::new("POST", "/configuration/patches").body(serde_json::to_vec(submission)?);
+        self.send(self.operators_address(entry)?, request, String::new())
     }
 
     /// Submits a patch; the status and body of the answer.
-    pub fn patch(
-        &self,
-        entry: &str,
-        against_version: u64,
-        author: &str,
-        patch_id: &str,
-        patch: Value,
-    ) -> Result<(u16, Value)> {
-        let submission = json!({ "against_version": against_version, "author": author,
-            "patch_id": patch_id, "patch": patch });
-        self.call_operators(entry, "POST", "/configuration/patches", submission.to_string())
+    pub fn patch(&self, entry: &str, submission: &Submission) -> Result<(u16, Value)> {
+        let body = serde_json::to_string(submission)?;
+        self.call_operators(entry, "POST", "/configuration/patches", body)
     }
 
     /// Calls an entry process's operators' address; the status and body of the answer.
@@ -175,8 +192,7 @@
         target: &str,
         body: String,
     ) -> Result<(u16, Value)> {
-        let address = self.operators.get(entry).with_context(|| format!("no entry {entry:?}"))?;
-        self.call(*address, Request::new(method, target).body(body))
+        self.call(self.operators_address(entry)?, Request::new(method, target).body(body))
     }
 
     /// Calls a stand-in by its process's name; the status and body of the answer.
@@ -230,6 +246,15 @@
         serde_json::from_value(body).with_context(|| format!("{name} {target}"))
     }
 
+    fn send(&self, address: SocketAddr, request: Request, expected: String) -> Result<Pending> {
+        let runtime = self.runtime.handle();
+        Ok(Pending::spawn(runtime, self.client.clone(), address, request, expected))
+    }
+
+    fn operators_address(&self, entry: &str) -> Result<SocketAddr> {
+        self.operators.get(entry).copied().with_context(|| format!("no entry process {entry:?}"))
+    }
+
     fn call(&self, address: SocketAddr, request: Request) -> Result<(u16, Value)> {
         self.runtime.block_on(async {
             let mut response = self.client.send(address, request, CALL_LIMIT).await?;
@@ -352,6 +377,19 @@
         Ok(addresses)
     }
 
+    /// A process that ended; connections to it are refused from now on.
+    fn forget(&mut self, name: &str) {
+        self.processes.remove(name);
+        if let Some(link) = self.link_before(name) {
+            link.refuse();
+        }
+    }
+
+    /// The link that leads to a process, where there is one.
+    fn link_before(&self, name: &str) -> Option<&Relay> {
+        self.links.get(&format!("to {}", name.strip_prefix("agent ")?))
+    }
+
     fn add_link(&mut self, name: &str, target: SocketAddr) -> Result<()> {
         let relay = self.runtime.block_on(Relay::spawn(target))?;
         self.links.insert(name.to_owned(), relay);
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -5,13 +5,15 @@
 mod answer;
 mod caller;
 mod fleet;
+mod language;
 mod plan;
 mod process;
 mod relay;
 
 pub use answer::Answer;
 pub use caller::{Booking, ModelRequest, Pending};
-pub use fleet::{Fleet, Programs};
+pub use fleet::{Fleet, Programs, Submission};
+pub use language::{Report, Script};
 pub use plan::{EnginePlan, Plan, ServicePlan, key_of};
 pub use process::Process;
 pub use relay::{Direction, Relay};
--- a/components/scenario/src/relay.rs
+++ b/components/scenario/src/relay.rs
@@ -54,7 +54,7 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let faults = watch::channel(Faults::default()).0;
-        let task = tokio::spawn(accept(listener, target, faults.clone()));
+        let task = tokio::spawn(serve(listener, address, target, faults.clone()));
         Ok(Relay { address, faults, task })
     }
 
@@ -76,7 +76,7 @@
         self.faults.send_modify(|faults| faults.cut_below = faults.accepted);
     }
 
-    /// Open connections are closed and new ones too, until `mend`.
+    /// Open connections are closed and new ones refused, until `mend`.
     pub fn refuse(&self) {
         self.faults.send_modify(|faults| {
             faults.cut_below = faults.accepted;
@@ -97,16 +97,35 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, faults: watch::Sender<Faults>) {
+/// Accepts until it has to refuse; then the port is closed, as on a host whose process died.
+async fn serve(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    target: SocketAddr,
+    faults: watch::Sender<Faults>,
+) {
+    let mut watched = faults.subscribe();
+    loop {
+        tokio::select! {
+            () = until(&mut watched, |faults| faults.refusing) => drop(listener),
+            () = accept(&listener, target, &faults) => return,
+        }
+        until(&mut watched, |faults| !faults.refusing).await;
+        listener = match TcpListener::bind(address).await {
+            Ok(bound) => bound,
+            Err(_) => return,
+        };
+    }
+}
+
+async fn accept(listener: &TcpListener, target: SocketAddr, faults: &watch::Sender<Faults>) {
     while let Ok((near, _)) = listener.accept().await {
         let mut connection = 0;
         faults.send_modify(|faults| {
             connection = faults.accepted;
             faults.accepted += 1;
         });
-        if !faults.borrow().refusing {
-            tokio::spawn(forward(near, target, connection, faults.subscribe()));
-        }
+        tokio::spawn(forward(near, target, connection, faults.subscribe()));
     }
 }
 
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -4,3 +4,10 @@
 pub mod hosts;
 pub mod service;
 pub mod store;
+pub mod weights;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -11,7 +11,7 @@
 use identity::{HostId, UpstreamId, ZoneId};
 use pico_args::Arguments;
 use serde_json::json;
-use standin::engine::{Engine, Speeds};
+use standin::engine::{Engine, EngineSettings};
 use standin::hosts::Hosts;
 use standin::service::Service;
 use standin::store::Store;
@@ -64,8 +64,8 @@
     let store = serve(Arc::new(Store::new(clock.clone())))?;
     let hosts =
         serve(Arc::new(Hosts::new(clock.clone(), Duration::ZERO, &["fast", "slow", "desk"])))?;
-    let fast = serve(Arc::new(engine(20_000, 80)))?;
-    let slow = serve(Arc::new(engine(4_000, 25)))?;
+    let fast = serve(Arc::new(engine(20_000, 80, clock.clone())))?;
+    let slow = serve(Arc::new(engine(4_000, 25, clock.clone())))?;
     let desk = serve(Arc::new(Service::new(Duration::from_millis(20))))?;
     let agents = [
         spawn_agent("fast", UpstreamSettings::HttpEngine { address: fast.address() }).await?,
@@ -103,8 +103,10 @@
     Server { address, workers: 1, body_limit_bytes: BODY_LIMIT_BYTES }.bind(handler)
 }
 
-fn engine(prefill_tokens_per_s: u32, decode_tokens_per_s: u32) -> Engine {
-    Engine::new(Speeds { prefill_tokens_per_s, decode_tokens_per_s })
+fn engine(prefill_tokens_per_s: u32, decode_tokens_per_s: u32, clock: Arc<dyn Clock>) -> Engine {
+    let speeds =
+        EngineSettings { prefill_tokens_per_s, decode_tokens_per_s, ..EngineSettings::default() };
+    Engine::new(speeds, clock)
 }
 
 async fn spawn_agent(name: &str, adapter: UpstreamSettings) -> Result<AgentHandle> {
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -7,10 +7,11 @@
 use anyhow::{Result, bail};
 use clock::SystemClock;
 use pico_args::Arguments;
-use standin::engine::{Engine, Speeds};
+use standin::engine::{Engine, EngineSettings};
 use standin::hosts::Hosts;
 use standin::service::Service;
 use standin::store::Store;
+use standin::weights::Weights;
 use web::{Handler, Server};
 
 use super::{build_runtime, wait_for_stop};
@@ -21,13 +22,20 @@
 usage: dragonflyfront-standin store   [--listen IP:PORT]
        dragonflyfront-standin hosts   [--listen IP:PORT] [--lag-ms N] --live HOST,HOST
        dragonflyfront-standin engine  [--listen IP:PORT] [--prefill N] [--decode N]
+                                      [--batch-cost-permille N] [--cache-tokens N]
+                                      [--report-lag-ms N] [--event-gap-one-in N]
+                                      [--seed N] [--ignores-fencing] [--models NAME,NAME]
        dragonflyfront-standin service [--listen IP:PORT] [--delay-ms N]
+       dragonflyfront-standin weights [--listen IP:PORT] [--bytes-per-s N]
 
 example: dragonflyfront-standin engine --prefill 8000 --decode 50";
 
 /// Largest body that a stand-in reads.
 const BODY_LIMIT_BYTES: usize = 8 << 20;
 
+/// Rate of the weight store unless given.
+const WEIGHT_BYTES_PER_S: u64 = 100_000_000;
+
 /// Runs the program.
 pub fn main(mut arguments: Arguments) -> Result<()> {
     if arguments.contains(["-h", "--help"]) {
@@ -59,10 +67,12 @@
             let live: Vec<&str> = live.split(',').collect();
             Arc::new(Hosts::new(clock, Duration::from_millis(lag_ms), &live))
         }
-        "engine" => Arc::new(Engine::new(Speeds {
-            prefill_tokens_per_s: arguments.opt_value_from_str("--prefill")?.unwrap_or(8000),
-            decode_tokens_per_s: arguments.opt_value_from_str("--decode")?.unwrap_or(50),
-        })),
+        "engine" => Arc::new(Engine::new(read_engine(arguments)?, clock)),
+        "weights" => {
+            let bytes_per_s =
+                arguments.opt_value_from_str("--bytes-per-s")?.unwrap_or(WEIGHT_BYTES_PER_S);
+            Arc::new(Weights::new(clock, bytes_per_s))
+        }
         "service" => {
             let delay_ms = arguments.opt_value_from_str("--delay-ms")?.unwrap_or(0);
             Arc::new(Service::new(Duration::from_millis(delay_ms)))
@@ -70,3 +80,23 @@
         other => bail!("unknown stand-in {other:?}; see --help"),
     })
 }
+
+fn read_engine(arguments: &mut Arguments) -> Result<EngineSettings> {
+    let usual = EngineSettings::default();
+    let number = |arguments: &mut Arguments, name: &'static str, usual: u32| -> Result<u32> {
+        Ok(arguments.opt_value_from_str(name)?.unwrap_or(usual))
+    };
+    let models: Option<String> = arguments.opt_value_from_str("--models")?;
+    let lag_ms = usual.report_lag.as_millis() as u32;
+    Ok(EngineSettings {
+        prefill_tokens_per_s: number(arguments, "--prefill", usual.prefill_tokens_per_s)?,
+        decode_tokens_per_s: number(arguments, "--decode", usual.decode_tokens_per_s)?,
+        batch_cost_permille: number(arguments, "--batch-cost-permille", usual.batch_cost_permille)?,
+        cache_tokens: number(arguments, "--cache-tokens", usual.cache_tokens)?,
+        report_lag: Duration::from_millis(number(arguments, "--report-lag-ms", lag_ms)?.into()),
+        event_gap_one_in: number(arguments, "--event-gap-one-in", usual.event_gap_one_in)?,
+        seed: arguments.opt_value_from_str("--seed")?.unwrap_or(usual.seed),
+        checks_fencing: !arguments.contains("--ignores-fencing"),
+        models: models.map(|list| list.split(',').map(str::to_owned).collect()).unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/tests/scenarios/connection_silent.rhai
@@ -0,0 +1,14 @@
+// Open connections go silent for good while new ones work: streams go on where they were.
+fleet(#{});
+let streams = [];
+for n in 0..8 {
+    streams.push(ask(pick(["entry-1", "entry-2"]), #{ id: `silent-${n}`, text: `log ${n}`, tokens: 100 }));
+}
+for stream in streams { stream.tokens_come(2); }
+if draw(2) == 0 { silence("to fast"); silence("to slow"); }
+else { silence_backward("to fast"); silence_backward("to slow"); }
+for stream in streams {
+    let got = answer(stream);
+    expect(got.whole, "the answer is whole and the caller's own");
+    expect(starts_of(got.id) == 1, "and was dispatched once");
+}
