--- a/components/scenario/src/caller.rs
+++ b/components/scenario/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller: model requests and bookings, each followed in a task of its own.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -141,6 +142,7 @@
 struct Followed {
     answer: Arc<Mutex<Answer>>,
     grown: watch::Receiver<bool>,
+    looked_at: AtomicBool,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -161,7 +163,10 @@
         let answer = Arc::new(Mutex::new(Answer { expected, ..Answer::default() }));
         let (sender, grown) = watch::channel(false);
         let task = runtime.spawn(follow(client, address, request, answer.clone(), sender));
-        Pending { followed: Arc::new(Followed { answer, grown, task }), runtime: runtime.clone() }
+        Pending {
+            followed: Arc::new(Followed { answer, grown, looked_at: AtomicBool::new(false), task }),
+            runtime: runtime.clone(),
+        }
     }
 
     /// The answer as far as it came.
@@ -179,6 +184,11 @@
         self.so_far()
     }
 
+    /// Whether nobody asked this before, so that a trace shows an answer once.
+    pub(crate) fn is_first_look(&self) -> bool {
+        !self.followed.looked_at.swap(true, Ordering::Relaxed)
+    }
+
     /// Waits until so many tokens have come; false past the limit.
     pub fn wait_for_tokens(&self, tokens: usize, limit: Duration) -> bool {
         self.wait_until(limit, |answer| answer.tokens() >= tokens)
--- a/components/scenario/src/fleet.rs
+++ b/components/scenario/src/fleet.rs
@@ -218,6 +218,18 @@
         self.counts(&format!("engine {engine}"), "/starts")
     }
 
+    /// How often each request was started at all engines together, by the caller's id for it.
+    pub fn starts_everywhere(&self) -> Result<BTreeMap<String, u32>> {
+        let mut sum = BTreeMap::new();
+        for engine in self.plan.engines.keys() {
+            for (name, count) in self.starts(engine)? {
+                let id = name.split_once('.').map_or(name.as_str(), |(_, id)| id);
+                *sum.entry(id.to_owned()).or_default() += count;
+            }
+        }
+        Ok(sum)
+    }
+
     /// How often each idempotency key ran at a service worker.
     pub fn runs(&self, service: &str) -> Result<BTreeMap<String, u32>> {
         self.counts(&format!("service {service}"), "/runs")
--- a/components/scenario/src/language/answers.rs
+++ b/components/scenario/src/language/answers.rs
@@ -39,6 +39,7 @@
     engine.register_get("tokens", |answer: &mut Answer| answer.tokens() as i64);
     engine.register_get("whole", |answer: &mut Answer| answer.is_whole());
     engine.register_get("crossed", |answer: &mut Answer| answer.is_crossed());
+    engine.register_get("ended", |answer: &mut Answer| answer.ended);
     engine.register_get("id", |answer: &mut Answer| answer.request_id.clone());
     engine.register_get("body", |answer: &mut Answer| answer.body.clone());
     engine.register_get("json", |answer: &mut Answer| -> Called<Dynamic> { show(&answer.json()) });
@@ -62,7 +63,9 @@
 
 fn wait(trace: &Trace, pending: &mut Pending) -> Answer {
     let answer = pending.wait(ANSWER_LIMIT);
-    trace.say(&format!("answer {}", describe(&answer)));
+    if pending.is_first_look() {
+        trace.say(&format!("answer {}", describe(&answer)));
+    }
     answer
 }
 
--- a/components/scenario/src/language/fleet.rs
+++ b/components/scenario/src/language/fleet.rs
@@ -40,6 +40,14 @@
     let shared = world.clone();
     engine.register_fn("starts_of", move |id: &str| starts_of(&shared, id));
     let shared = world.clone();
+    engine.register_fn("all_starts", move || -> Called<Dynamic> {
+        show(&lock(&shared).fleet()?.starts_everywhere().map_err(fail)?)
+    });
+    let shared = world.clone();
+    engine.register_fn("all_runs", move || -> Called<Dynamic> {
+        show(&lock(&shared).fleet()?.runs_everywhere().map_err(fail)?)
+    });
+    let shared = world.clone();
     engine.register_fn("runs", move |name: &str| -> Called<Dynamic> {
         show(&lock(&shared).fleet()?.runs(name).map_err(fail)?)
     });
@@ -95,15 +103,6 @@
 
 /// How often a request was started, at all engines together and whoever asked.
 fn starts_of(world: &Shared, id: &str) -> Called<i64> {
-    let mut world = lock(world);
-    let fleet = world.fleet()?;
-    let engines: Vec<String> = fleet.plan().engines.keys().cloned().collect();
-    let suffix = format!(".{id}");
-    let mut sum = 0;
-    for engine in engines {
-        let starts = fleet.starts(&engine).map_err(fail)?;
-        let own = starts.iter().filter(|(name, _)| name.ends_with(&suffix));
-        sum += own.map(|(_, count)| i64::from(*count)).sum::<i64>();
-    }
-    Ok(sum)
+    let starts = lock(world).fleet()?.starts_everywhere().map_err(fail)?;
+    Ok(starts.get(id).copied().unwrap_or_default().into())
 }
--- a/components/scenario/src/language/flow.rs
+++ b/components/scenario/src/language/flow.rs
@@ -27,6 +27,8 @@
         },
     );
     let shared = world.clone();
+    engine.register_fn("rounds", move |usual: i64| lock(&shared).rounds.unwrap_or(usual));
+    let shared = world.clone();
     engine.register_fn("draw", move |below: i64| -> Called<i64> {
         if below < 1 {
             return Err(fail("draw: allowed 1 or more"));
--- a/components/scenario/src/language/mod.rs
+++ b/components/scenario/src/language/mod.rs
@@ -30,6 +30,17 @@
     pub source: String,
 }
 
+/// How a scenario is run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Run {
+    /// Drives `draw` and `pick`.
+    pub seed: u64,
+    /// Rounds, for scenarios that have them; their own number where `None`.
+    pub rounds: Option<i64>,
+    /// Whether the trace is printed as it comes.
+    pub live: bool,
+}
+
 /// What came of a run.
 #[derive(Debug, Clone)]
 pub struct Report {
@@ -40,10 +51,10 @@
 }
 
 impl Script {
-    /// Runs the scenario with a fleet of its own; `live` prints the trace as it comes.
-    pub fn run(&self, programs: Programs, seed: u64, live: bool) -> Report {
-        let trace = Trace::start(live);
-        let world = World::share(programs, seed, trace.clone());
+    /// Runs the scenario with a fleet of its own.
+    pub fn run(&self, programs: Programs, run: Run) -> Report {
+        let trace = Trace::start(run.live);
+        let world = World::share(programs, run, trace.clone());
         let mut engine = Engine::new();
         engine.set_max_expr_depths(EXPRESSION_DEPTH, EXPRESSION_DEPTH);
         fleet::register(&mut engine, &world);
--- a/components/scenario/src/language/world.rs
+++ b/components/scenario/src/language/world.rs
@@ -7,7 +7,7 @@
 
 use super::trace::Trace;
 use super::{Called, fail};
-use crate::{Fleet, Programs};
+use crate::{Fleet, Programs, Run};
 
 pub(super) type Shared = Arc<Mutex<World>>;
 
@@ -15,13 +15,14 @@
     pub(super) programs: Programs,
     pub(super) fleet: Option<Fleet>,
     pub(super) rng: ChaCha8Rng,
+    pub(super) rounds: Option<i64>,
     pub(super) trace: Trace,
 }
 
 impl World {
-    pub(super) fn share(programs: Programs, seed: u64, trace: Trace) -> Shared {
-        let rng = ChaCha8Rng::seed_from_u64(seed);
-        Arc::new(Mutex::new(World { programs, fleet: None, rng, trace }))
+    pub(super) fn share(programs: Programs, run: Run, trace: Trace) -> Shared {
+        let rng = ChaCha8Rng::seed_from_u64(run.seed);
+        Arc::new(Mutex::new(World { programs, fleet: None, rng, rounds: run.rounds, trace }))
     }
 
     /// The fleet, which `fleet(#{...})` starts.
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -13,7 +13,7 @@
 pub use answer::Answer;
 pub use caller::{Booking, ModelRequest, Pending};
 pub use fleet::{Fleet, Programs, Submission};
-pub use language::{Report, Script};
+pub use language::{Report, Run, Script};
 pub use plan::{EnginePlan, Plan, ServicePlan, key_of};
 pub use process::Process;
 pub use relay::{Direction, Relay};
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Runs the scripts of `tests/scenarios`: all of them, or one by name with a seed.
 //!
-//! `cargo test --test scenarios -- NAME --seed N` prints the trace as it comes.
+//! `cargo test --test scenarios -- NAME --seed N [--rounds N]` prints the trace as it comes.
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -9,7 +9,7 @@
 use std::{fs, thread};
 
 use pico_args::Arguments;
-use scenario::{Programs, Report, Script};
+use scenario::{Programs, Report, Run, Script};
 
 /// The seed of CI.
 const DEFAULT_SEED: u64 = 1;
@@ -17,9 +17,6 @@
 /// Scenarios that run at once.
 const LANES: usize = 3;
 
-/// Scripts that are too long for CI begin with this line.
-const BY_COMMAND_ONLY: &str = "// By command only.";
-
 /// How a scenario counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Verdict {
@@ -37,22 +34,23 @@
         return ExitCode::SUCCESS;
     }
     let seed = arguments.opt_value_from_str("--seed").expect("--seed N").unwrap_or(DEFAULT_SEED);
+    let rounds = arguments.opt_value_from_str("--rounds").expect("--rounds N");
     let names = arguments.finish();
     let name = names.iter().filter_map(|name| name.to_str()).find(|name| !name.starts_with("--"));
     match name {
-        Some(name) => run_one(name, seed),
+        Some(name) => run_one(name, Run { seed, rounds, live: true }),
         None => run_all(seed),
     }
 }
 
-fn run_one(name: &str, seed: u64) -> ExitCode {
+fn run_one(name: &str, run: Run) -> ExitCode {
     let Some(script) = read_scripts().into_iter().find(|script| script.name == name) else {
         // A filter of `cargo test` that means another test.
         println!("no scenario {name:?}; --list shows all");
         return ExitCode::SUCCESS;
     };
-    println!("scenario {name} seed {seed}");
-    match script.run(programs(), seed, true).failure {
+    println!("scenario {name} seed {}", run.seed);
+    match script.run(programs(), run).failure {
         None => ExitCode::SUCCESS,
         Some(_) => ExitCode::FAILURE,
     }
@@ -61,9 +59,7 @@
 fn run_all(seed: u64) -> ExitCode {
     let scripts = read_scripts();
     let known_red = read_known_red();
-    let waiting: Mutex<Vec<Script>> = Mutex::new(
-        scripts.into_iter().rev().filter(|script| !is_by_command_only(script)).collect(),
-    );
+    let waiting: Mutex<Vec<Script>> = Mutex::new(scripts.into_iter().rev().collect());
     let verdicts = Mutex::new(Vec::new());
     thread::scope(|scope| {
         for _ in 0..LANES {
@@ -91,7 +87,7 @@
 
 fn judge(script: &Script, seed: u64, known_red: &[String]) -> Verdict {
     let started_at = Instant::now();
-    let report = script.run(programs(), seed, false);
+    let report = script.run(programs(), Run { seed, rounds: None, live: false });
     let listed = known_red.contains(&script.name);
     let verdict = match (report.failure.is_none(), listed) {
         (true, false) => Verdict::Passed,
@@ -115,10 +111,6 @@
     println!("{text}");
 }
 
-fn is_by_command_only(script: &Script) -> bool {
-    script.source.starts_with(BY_COMMAND_ONLY)
-}
-
 fn read_scripts() -> Vec<Script> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
     let mut scripts: Vec<Script> = fs::read_dir(folder)
