--- a/components/scenario/src/fleet.rs
+++ b/components/scenario/src/fleet/mod.rs
@@ -1,15 +1,16 @@
 //! Starts the programs of a plan as processes and holds them.
 
+mod start;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::path::PathBuf;
+use std::time::Duration;
 
 use anyhow::{Context, Result, ensure};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 use web::{Client, Request};
@@ -20,15 +21,6 @@
 /// How long a call to a stand-in or to operators' HTTP may take.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
-/// How long a fleet may take until every entry process takes work.
-const READY_LIMIT: Duration = Duration::from_secs(20);
-
-/// How often a condition is looked at again.
-const POLL: Duration = Duration::from_millis(50);
-
-const STORE: &str = "store";
-const HOSTS: &str = "hosts";
-
 /// Where the programs are.
 #[derive(Debug, Clone)]
 pub struct Programs {
@@ -79,41 +71,6 @@
 }
 
 impl Fleet {
-    /// Starts every process of the plan and waits until all entry processes take work.
-    pub fn spawn(programs: Programs, plan: Plan) -> Result<Fleet> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()
-            .context("runtime")?;
-        let mut fleet = Fleet {
-            processes: BTreeMap::new(),
-            links: BTreeMap::new(),
-            commands: BTreeMap::new(),
-            addresses: BTreeMap::new(),
-            operators: BTreeMap::new(),
-            plan,
-            programs,
-            client: Client::spawn()?,
-            folder: tempfile::Builder::new().prefix("dragonflyfront-").tempdir()?,
-            runtime,
-        };
-        fleet.start_platform()?;
-        fleet.start_upstreams()?;
-        fleet.start_entries()?;
-        let document = fleet.plan.configuration(&fleet.agent_addresses());
-        let first = Submission {
-            author: "fleet".to_owned(),
-            patch_id: "fleet-1".to_owned(),
-            against_version: 0,
-            patch: document,
-        };
-        let answer = fleet.patch(&fleet.first_entry()?, &first)?;
-        ensure!(answer.0 == 200, "first configuration: {} {}", answer.0, answer.1);
-        fleet.wait_until_ready()?;
-        Ok(fleet)
-    }
-
     /// What it was made of.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -275,120 +232,6 @@
         })
     }
 
-    fn start_platform(&mut self) -> Result<()> {
-        self.start_standin(STORE, &["store".to_owned()])?;
-        let live: Vec<&str> = self.plan.upstreams().collect();
-        let arguments = [
-            "hosts".to_owned(),
-            "--lag-ms".to_owned(),
-            self.plan.host_list_lag_ms.to_string(),
-            "--live".to_owned(),
-            live.join(","),
-        ];
-        self.start_standin(HOSTS, &arguments)
-    }
-
-    fn start_upstreams(&mut self) -> Result<()> {
-        for (name, engine) in self.plan.engines.clone() {
-            let arguments = [
-                "engine".to_owned(),
-                "--prefill".to_owned(),
-                engine.prefill_tokens_per_s.to_string(),
-                "--decode".to_owned(),
-                engine.decode_tokens_per_s.to_string(),
-            ];
-            let standin = format!("engine {name}");
-            self.start_standin(&standin, &arguments)?;
-            let adapter = json!({ "http_engine": { "address": self.address(&standin)? } });
-            self.start_agent(&name, &engine.zone, engine.slots, adapter)?;
-        }
-        for (name, service) in self.plan.services.clone() {
-            let delay = service.delay_ms.to_string();
-            let standin = format!("service {name}");
-            self.start_standin(&standin, &["service".to_owned(), "--delay-ms".to_owned(), delay])?;
-            let adapter = json!({ "http_service": { "address": self.address(&standin)? } });
-            self.start_agent(&name, &service.zone, service.slots, adapter)?;
-        }
-        Ok(())
-    }
-
-    fn start_agent(
-        &mut self,
-        upstream: &str,
-        zone: &str,
-        slots: u32,
-        adapter: Value,
-    ) -> Result<()> {
-        let name = format!("agent {upstream}");
-        let settings = json!({ "listen": "127.0.0.1:0", "host": upstream, "zone": zone,
-            "upstream": upstream, "adapter": adapter, "slots": slots });
-        let addresses = self.start_with_settings(&name, &self.programs.agent.clone(), settings)?;
-        let address = *addresses.first().context("an agent prints one address")?;
-        self.add_link(&format!("to {upstream}"), address)
-    }
-
-    fn start_entries(&mut self) -> Result<()> {
-        let store = self.address(STORE)?;
-        for (name, zone) in self.plan.entries.clone() {
-            let link = format!("{name} to store");
-            self.add_link(&link, store)?;
-            let platform = json!({ "http": {
-                "store": self.link(&link)?.address(), "host_list": self.address(HOSTS)? } });
-            let settings = json!({ "listen": "127.0.0.1:0", "operators_listen": "127.0.0.1:0",
-                "host": name, "zone": zone, "platform": platform });
-            let program = self.programs.entry.clone();
-            let addresses = self.start_with_settings(&name, &program, settings)?;
-            let operators = *addresses.get(1).context("an entry prints two addresses")?;
-            self.operators.insert(name, operators);
-        }
-        Ok(())
-    }
-
-    fn start_standin(&mut self, name: &str, arguments: &[String]) -> Result<()> {
-        let program = self.programs.standin.clone();
-        let addresses = self.start(name, &program, arguments.to_vec())?;
-        let mut fixed = arguments.to_vec();
-        fixed.push("--listen".to_owned());
-        fixed.push(addresses.first().context("a stand-in prints one address")?.to_string());
-        self.commands.insert(name.to_owned(), Command { program, arguments: fixed });
-        Ok(())
-    }
-
-    /// Starts a program on free ports, then pins its settings to them for a later restart.
-    fn start_with_settings(
-        &mut self,
-        name: &str,
-        program: &Path,
-        mut settings: Value,
-    ) -> Result<Vec<SocketAddr>> {
-        let path = self.folder.path().join(format!("{}.json", name.replace(' ', "-")));
-        std::fs::write(&path, settings.to_string())?;
-        let arguments = vec!["--settings".to_owned(), path.display().to_string()];
-        let addresses = self.start(name, program, arguments)?;
-        for (field, address) in ["listen", "operators_listen"].iter().zip(&addresses) {
-            settings[*field] = json!(address);
-        }
-        std::fs::write(&path, settings.to_string())?;
-        Ok(addresses)
-    }
-
-    fn start(
-        &mut self,
-        name: &str,
-        program: &Path,
-        arguments: Vec<String>,
-    ) -> Result<Vec<SocketAddr>> {
-        let process = Process::spawn(program, &arguments, &self.log_path(name))
-            .with_context(|| format!("{name}: {}", self.log_tail(name, 5)))?;
-        let addresses = process.addresses().to_vec();
-        if let Some(first) = addresses.first() {
-            self.addresses.insert(name.to_owned(), *first);
-        }
-        self.commands.insert(name.to_owned(), Command { program: program.to_owned(), arguments });
-        self.processes.insert(name.to_owned(), process);
-        Ok(addresses)
-    }
-
     /// A process that ended; connections to it are refused from now on.
     fn forget(&mut self, name: &str) {
         self.processes.remove(name);
@@ -402,36 +245,6 @@
         self.links.get(&format!("to {}", name.strip_prefix("agent ")?))
     }
 
-    fn add_link(&mut self, name: &str, target: SocketAddr) -> Result<()> {
-        let relay = self.runtime.block_on(Relay::spawn(target))?;
-        self.links.insert(name.to_owned(), relay);
-        Ok(())
-    }
-
-    fn agent_addresses(&self) -> BTreeMap<String, SocketAddr> {
-        let linked = |upstream: &str| {
-            let relay = self.links.get(&format!("to {upstream}"))?;
-            Some((upstream.to_owned(), relay.address()))
-        };
-        self.plan.upstreams().filter_map(linked).collect()
-    }
-
-    fn wait_until_ready(&self) -> Result<()> {
-        let ends_at = Instant::now() + READY_LIMIT;
-        for name in self.plan.entries.keys() {
-            while !self.call_operators(name, "GET", "/readyz", String::new())?.0.eq(&200) {
-                let tail = self.log_tail(name, 5);
-                ensure!(Instant::now() < ends_at, "{name} is not ready in time: {tail}");
-                thread::sleep(POLL);
-            }
-        }
-        Ok(())
-    }
-
-    fn first_entry(&self) -> Result<String> {
-        self.plan.entries.keys().next().cloned().context("a fleet has an entry process or more")
-    }
-
     fn address(&self, name: &str) -> Result<SocketAddr> {
         self.addresses.get(name).copied().with_context(|| format!("no process {name:?}"))
     }
--- a/components/standin/src/engine/mod.rs
+++ b/components/standin/src/engine/mod.rs
@@ -7,7 +7,7 @@
 mod settings;
 
 pub use answers::expected_text;
-pub use settings::{EngineFaults, EngineSettings};
+pub use settings::{EngineFaults, EngineSettings, WeightSource};
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -15,15 +15,16 @@
 
 use async_trait::async_trait;
 use clock::Clock;
+use log::warn;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use web::{Handler, Request, Response};
+use web::{Client, Handler, Request, Response};
 
 use crate::lock;
 use answers::{Answer, Answers};
 use batch::{Batch, Step};
 use cache::{BLOCK_TOKENS, BlockHash, Cache, hash_blocks};
-use orders::Orders;
+use orders::{Orders, Taken};
 
 /// Bytes of text to a token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -37,6 +38,9 @@
 /// How often a frozen engine looks whether it still is.
 const FROZEN_POLL: Duration = Duration::from_millis(10);
 
+/// How long the weight store may take to begin.
+const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Load reports that are kept for late readers.
 const LOAD_HISTORY: usize = 4096;
 
@@ -93,6 +97,8 @@
 
 #[derive(Debug, Deserialize)]
 struct Call {
+    #[serde(default)]
+    model: String,
     #[serde(default)]
     messages: Vec<Message>,
     #[serde(default)]
@@ -134,6 +140,9 @@
             Ok(call) => call,
             Err(error) => return Response::json(400, &json!({ "message": error.to_string() })),
         };
+        if !lock(&self.shared.state).orders.serves(&call.model) {
+            return Response::json(404, &json!({ "message": "the model is not loaded" }));
+        }
         let id = request.headers.get("x-request-id").unwrap_or_default();
         let answer = self.admit(id, &call);
         answer.respond(0)
@@ -240,10 +249,36 @@
     }
 
     fn order(&self, request: &Request) -> Response {
-        match serde_json::from_slice(&request.body) {
-            Ok(order) => lock(&self.shared.state).orders.take(order),
-            Err(error) => Response::json(400, &json!({ "message": error.to_string() })),
+        let order = match serde_json::from_slice(&request.body) {
+            Ok(order) => order,
+            Err(error) => return Response::json(400, &json!({ "message": error.to_string() })),
+        };
+        let model = match lock(&self.shared.state).orders.take(order) {
+            Taken::Done(response) => return response,
+            Taken::Load(model) => model,
+        };
+        let engine = self.clone();
+        tokio::spawn(async move {
+            match engine.fetch_weights(&model).await {
+                Ok(()) => lock(&engine.shared.state).orders.loaded(&model),
+                Err(error) => warn!("weights of {model}: {error}"),
+            }
+        });
+        Response::json(202, &json!({}))
+    }
+
+    async fn fetch_weights(&self, model: &str) -> anyhow::Result<()> {
+        let Some(source) = self.shared.settings.weights else { return Ok(()) };
+        let target = format!("/weights/{model}?size_bytes={}", source.size_bytes);
+        let request = Request::new("GET", &target);
+        let client = Client::spawn()?;
+        let mut response = client.send(source.address, request, WEIGHTS_TIMEOUT).await?;
+        let mut got_bytes = 0;
+        while let Some(piece) = response.body.recv().await {
+            got_bytes += piece?.len() as u64;
         }
+        anyhow::ensure!(got_bytes == source.size_bytes, "got {got_bytes} bytes");
+        Ok(())
     }
 
     fn set_faults(&self, request: &Request) -> Response {
--- a/components/standin/src/engine/orders.rs
+++ b/components/standin/src/engine/orders.rs
@@ -28,12 +28,23 @@
     command: Command,
 }
 
+/// What follows from an order.
+#[derive(Debug)]
+pub(super) enum Taken {
+    /// Nothing more than the answer.
+    Done(Response),
+    /// A model is to be loaded.
+    Load(String),
+}
+
 /// Orders that were taken and what follows from them.
 #[derive(Debug)]
 pub(super) struct Orders {
     checks_fencing: bool,
     highest_token: u64,
+    serves_all: bool,
     models: BTreeSet<String>,
+    loading: BTreeSet<String>,
     role: String,
     taken: Vec<Order>,
     taken_stale: u32,
@@ -44,6 +55,8 @@
         Orders {
             checks_fencing: settings.checks_fencing,
             highest_token: 0,
+            serves_all: settings.models.is_empty(),
+            loading: BTreeSet::new(),
             models: settings.models.iter().cloned().collect(),
             role: "both".to_owned(),
             taken: Vec::new(),
@@ -52,32 +65,46 @@
     }
 
     /// Takes an order, or refuses one with an old token where tokens are checked.
-    pub(super) fn take(&mut self, order: Order) -> Response {
+    pub(super) fn take(&mut self, order: Order) -> Taken {
         let stale = order.fencing_token < self.highest_token;
         if stale && self.checks_fencing {
             let body = json!({ "message": "stale", "highest_token": self.highest_token });
-            return Response::json(409, &body);
+            return Taken::Done(Response::json(409, &body));
         }
         self.taken_stale += u32::from(stale);
         self.highest_token = self.highest_token.max(order.fencing_token);
-        match &order.command {
+        self.taken.push(order.clone());
+        match order.command {
             Command::Load(model) => {
-                self.models.insert(model.clone());
+                self.loading.insert(model.clone());
+                return Taken::Load(model);
             }
             Command::Unload(model) => {
-                self.models.remove(model);
+                self.serves_all = false;
+                self.models.remove(&model);
             }
-            Command::Role(role) => self.role.clone_from(role),
+            Command::Role(role) => self.role = role,
         }
-        self.taken.push(order);
-        Response::json(200, &json!({}))
+        Taken::Done(Response::json(200, &json!({})))
+    }
+
+    /// A model is loaded.
+    pub(super) fn loaded(&mut self, model: &str) {
+        if self.loading.remove(model) {
+            self.models.insert(model.to_owned());
+        }
+    }
+
+    /// Whether requests for a model can be served.
+    pub(super) fn serves(&self, model: &str) -> bool {
+        self.serves_all || self.models.contains(model)
     }
 
     /// What was taken and what is in effect.
     pub(super) fn report(&self) -> Response {
         Response::json(
             200,
-            &json!({ "models": self.models, "role": self.role, "taken": self.taken,
+            &json!({ "models": self.models, "loading": self.loading, "role": self.role, "taken": self.taken,
                 "taken_stale": self.taken_stale, "highest_token": self.highest_token }),
         )
     }
--- a/components/standin/src/engine/settings.rs
+++ b/components/standin/src/engine/settings.rs
@@ -1,5 +1,6 @@
 //! Settings and faults of an engine.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -23,8 +24,19 @@
     pub seed: u64,
     /// Whether orders with an old fencing token are refused.
     pub checks_fencing: bool,
-    /// Models that are loaded at the start.
+    /// Models that are loaded at the start; where none is named, every model is served.
     pub models: Vec<String>,
+    /// Where models are loaded from; loading takes no time where there is none.
+    pub weights: Option<WeightSource>,
+}
+
+/// Where an engine gets weights from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WeightSource {
+    /// Address of the weight store.
+    pub address: SocketAddr,
+    /// Size of a model's weights.
+    pub size_bytes: u64,
 }
 
 impl Default for EngineSettings {
@@ -39,6 +51,7 @@
             seed: 0,
             checks_fencing: true,
             models: Vec::new(),
+            weights: None,
         }
     }
 }
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -7,7 +7,7 @@
 use anyhow::{Result, bail};
 use clock::SystemClock;
 use pico_args::Arguments;
-use standin::engine::{Engine, EngineSettings};
+use standin::engine::{Engine, EngineSettings, WeightSource};
 use standin::hosts::Hosts;
 use standin::service::Service;
 use standin::store::Store;
@@ -25,6 +25,7 @@
                                       [--batch-cost-permille N] [--cache-tokens N]
                                       [--report-lag-ms N] [--event-gap-one-in N]
                                       [--seed N] [--ignores-fencing] [--models NAME,NAME]
+                                      [--weights IP:PORT] [--weights-bytes N]
        dragonflyfront-standin service [--listen IP:PORT] [--delay-ms N]
        dragonflyfront-standin weights [--listen IP:PORT] [--bytes-per-s N]
 
@@ -36,6 +37,9 @@
 /// Rate of the weight store unless given.
 const WEIGHT_BYTES_PER_S: u64 = 100_000_000;
 
+/// Size of a model's weights unless given.
+const WEIGHTS_BYTES: u64 = 50_000_000;
+
 /// Runs the program.
 pub fn main(mut arguments: Arguments) -> Result<()> {
     if arguments.contains(["-h", "--help"]) {
@@ -87,6 +91,8 @@
         Ok(arguments.opt_value_from_str(name)?.unwrap_or(usual))
     };
     let models: Option<String> = arguments.opt_value_from_str("--models")?;
+    let weights: Option<SocketAddr> = arguments.opt_value_from_str("--weights")?;
+    let size_bytes = arguments.opt_value_from_str("--weights-bytes")?.unwrap_or(WEIGHTS_BYTES);
     let lag_ms = usual.report_lag.as_millis() as u32;
     Ok(EngineSettings {
         prefill_tokens_per_s: number(arguments, "--prefill", usual.prefill_tokens_per_s)?,
@@ -98,5 +104,6 @@
         seed: arguments.opt_value_from_str("--seed")?.unwrap_or(usual.seed),
         checks_fencing: !arguments.contains("--ignores-fencing"),
         models: models.map(|list| list.split(',').map(str::to_owned).collect()).unwrap_or_default(),
+        weights: weights.map(|address| WeightSource { address, size_bytes }),
     })
 }
