--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -18,6 +18,7 @@
 use web::Client;
 use wire::{Dispatch, RequestKey};
 
+use crate::controllers::once::{self, Once};
 use crate::core::{Action, Core, UpstreamEvent};
 use crate::upstream::{HttpEngine, HttpService, Upstream};
 use crate::{Settings, UpstreamSettings};
@@ -56,6 +57,7 @@
     process: ProcessId,
     clock: Arc<dyn Clock>,
     core: Mutex<Core>,
+    once: Mutex<Once>,
     upstream: Arc<dyn Upstream>,
     wakers: Mutex<HashMap<RequestKey, watch::Sender<u64>>>,
     running: Mutex<HashMap<RequestKey, JoinHandle<()>>>,
@@ -75,10 +77,12 @@
             .await
             .with_context(|| format!("{}: cannot be bound", self.settings.listen))?;
         let address = listener.local_addr()?;
+        let process = ProcessId::random();
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
+            once: Mutex::new(Once::new(process.clone(), once::CAPACITY)),
             settings: self.settings,
-            process: ProcessId::random(),
+            process,
             clock: self.clock,
             upstream,
             wakers: Mutex::default(),
@@ -117,6 +121,10 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn once(&self) -> MutexGuard<'_, Once> {
+        lock(&self.once)
+    }
+
     /// A receiver that changes whenever the request's transcript may have grown.
     pub(crate) fn subscribe(&self, key: &RequestKey) -> watch::Receiver<u64> {
         let mut wakers = lock(&self.wakers);
@@ -145,6 +153,7 @@
 
     fn start(self: &Arc<Self>, dispatch: Dispatch) {
         let key = dispatch.key.clone();
+        self.once().on_start(&key);
         debug!("request={} handed to {}", key.request_id, self.settings.upstream);
         let task = tokio::spawn(run_request(self.clone(), dispatch));
         lock(&self.running).insert(key, task);
@@ -181,6 +190,7 @@
     let call = async move { upstream.start(&dispatch, sender).await };
     let take = async {
         while let Some(event) = events.recv().await {
+            shared.once().on_upstream(&key, &event);
             let actions = shared.core().on_upstream(&key, event, shared.clock.now());
             shared.perform(actions);
         }
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -8,9 +8,10 @@
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
-use wire::{AnswerEvent, Dispatch, RequestKey, v1};
+use wire::{AnswerEvent, Claim, Dispatch, RequestKey, v1};
 
 use super::Shared;
+use crate::controllers::once::{Admit, Settled};
 use crate::core::{Admission, Cursor, ReadStep, Settlement};
 
 /// Events on their way to one entry process.
@@ -52,8 +53,18 @@
         &self,
         request: Request<v1::DispatchRequest>,
     ) -> Result<Response<EventStream>, Status> {
-        let dispatch: Dispatch = request.into_inner().try_into().map_err(invalid)?;
+        let mut request = request.into_inner();
+        let claim = request.claim.take().map(Claim::from);
+        let dispatch: Dispatch = request.try_into().map_err(invalid)?;
         let key = dispatch.key.clone();
+        let admit = claim.map(|claim| self.shared.once().admit(&key, &claim));
+        match admit {
+            Some(Admit::Refuse(refusal)) => {
+                return Ok(Response::new(self.say(&key, &AnswerEvent::Refused(refusal)).await));
+            }
+            Some(Admit::Seen) => return Ok(Response::new(self.read_from(key, 0))),
+            Some(Admit::Pass) | None => {}
+        }
         let (admission, actions) = self.shared.core().dispatch(dispatch, self.shared.clock.now());
         self.shared.perform(actions);
         let stream = match admission {
@@ -76,16 +87,17 @@
         &self,
         request: Request<v1::SettleRequest>,
     ) -> Result<Response<v1::SettleReply>, Status> {
-        let key = required_key(request.into_inner().key)?;
+        let request = request.into_inner();
+        let key = required_key(request.key)?;
         let settlement = self.shared.core().settle(&key, self.shared.clock.now());
-        let state = match settlement {
-            Settlement::Withdrawn => v1::RequestState::Withdrawn,
-            Settlement::Queued => v1::RequestState::Queued,
-            Settlement::Running => v1::RequestState::Running,
-            Settlement::Finished => v1::RequestState::Finished,
-            Settlement::NotRun => v1::RequestState::NotRun,
+        let settled = match request.claim.map(Claim::from) {
+            Some(claim) => self.shared.once().settle(&key, &claim, settlement),
+            None => Settled::Known(settlement),
         };
-        Ok(Response::new(v1::SettleReply { state: state.into() }))
+        Ok(Response::new(v1::SettleReply {
+            state: state_of(settled).into(),
+            process: self.shared.process.as_str().to_owned(),
+        }))
     }
 
     async fn cancel(
@@ -166,6 +178,18 @@
     }
 }
 
+fn state_of(settled: Settled) -> v1::RequestState {
+    match settled {
+        Settled::Known(Settlement::Withdrawn) => v1::RequestState::Withdrawn,
+        Settled::Known(Settlement::Queued) => v1::RequestState::Queued,
+        Settled::Known(Settlement::Running) => v1::RequestState::Running,
+        Settled::Known(Settlement::Finished) => v1::RequestState::Finished,
+        Settled::Known(Settlement::NotRun) => v1::RequestState::NotRun,
+        Settled::Ran => v1::RequestState::Ran,
+        Settled::Unknown => v1::RequestState::Unknown,
+    }
+}
+
 fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
     key.map(RequestKey::from).ok_or_else(|| Status::invalid_argument("key is missing"))
 }
--- /dev/null
+++ b/components/entry/src/controllers/claims/claiming.rs
@@ -0,0 +1,392 @@
+//! One request for a non-idempotent call on its way to a claim: what happened and the time come in,
+//! what to do next comes out.
+
+use std::time::{Duration, Instant};
+
+use errors::{Outcome, Refusal, ResultCode};
+use identity::{CustomerId, DispatchEpoch, ProcessId, UpstreamId};
+use platform::{Revision, StoreError, SwapResult};
+
+use super::{Claim, KeptAnswer, State, Writer};
+
+/// How long a claim may take to be made or settled.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// How long another's claim may stand before its agent is asked; its dispatch may be on its way.
+const CLAIM_GRACE: Duration = Duration::from_millis(250);
+
+/// Pause before the store is read again after it failed.
+const READ_PAUSE: Duration = Duration::from_millis(200);
+
+/// How often one request may find that another took the claim before it.
+const CONFLICT_LIMIT: u32 = 8;
+
+/// When to come back after the store failed.
+const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// When to come back to a call that runs or waits for its operator.
+const RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Who asks for what.
+#[derive(Debug, Clone)]
+pub struct Start {
+    /// The customer who asks.
+    pub customer: CustomerId,
+    /// The customer's key for the call.
+    pub idempotency_key: String,
+    /// SHA-256 of the call, in hexadecimal.
+    pub call_sha256: String,
+    /// The process that claims.
+    pub process: ProcessId,
+    /// When the answer is worthless.
+    pub deadline: Instant,
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// An upstream was chosen, and its agent runs as this process. Begins each attempt.
+    Placed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The agent process beside it.
+        agent_process: ProcessId,
+        /// Drawn for the write that may follow.
+        nonce: u64,
+        /// Time of day, in milliseconds since 1970.
+        wall_ms: u64,
+    },
+    /// The store answered a write.
+    Wrote(Result<SwapResult, StoreError>),
+    /// The store answered a read.
+    Read(Result<Option<(Revision, Box<Claim>)>, StoreError>),
+    /// A pause is over.
+    Paused,
+    /// The agent named in the claim was asked.
+    Settled(AgentWord),
+}
+
+/// What an agent says of a dispatch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AgentWord {
+    /// It holds the call or its answer.
+    Held(ProcessId),
+    /// It did not run it and refuses it from now on.
+    NeverRuns(ProcessId),
+    /// It ran, and the answer is no longer held.
+    Ran(ProcessId),
+    /// It cannot say.
+    Unknown(ProcessId),
+    /// It does not answer.
+    Unreachable,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Next {
+    /// Write this claim if the key stands at `expected`.
+    Write {
+        /// The claim.
+        claim: Box<Claim>,
+        /// The revision to replace; `None` where the key must be absent.
+        expected: Option<Revision>,
+    },
+    /// Read the claim.
+    Read,
+    /// Wait this long.
+    Pause(Duration),
+    /// Ask the agent named in this claim, on a new connection.
+    Settle {
+        /// The claim.
+        claim: Box<Claim>,
+        /// Where it stands.
+        revision: Revision,
+    },
+    /// Hand the call over under this claim.
+    Dispatch {
+        /// The claim.
+        claim: Box<Claim>,
+        /// Where it stands.
+        revision: Revision,
+    },
+    /// Read the answer from the agent named in this claim.
+    Join {
+        /// The claim.
+        claim: Box<Claim>,
+        /// Where it stands.
+        revision: Revision,
+    },
+    /// Write that the call ran, then tell the caller so.
+    NoteRan {
+        /// The claim.
+        claim: Box<Claim>,
+        /// Where it stands.
+        revision: Revision,
+    },
+    /// Give the kept answer.
+    Replay(KeptAnswer),
+    /// End with this.
+    Answer(Refusal),
+}
+
+/// One request on its way to a claim.
+#[derive(Debug)]
+pub struct Claiming {
+    start: Start,
+    gives_up_at: Instant,
+    /// What the next write is to say.
+    wanted: Option<Wanted>,
+    /// The claim that is known not to run, to be replaced.
+    replaced: Option<(Revision, Claim)>,
+    /// The last write whose reply has not been seen.
+    unread: Option<Claim>,
+    /// Another's claim and since when it has been seen there.
+    awaited: Option<(Revision, Instant)>,
+    /// The claim whose agent is being asked.
+    asked: Option<(Revision, Claim)>,
+    /// The claim that this request acts under.
+    held: Option<(Revision, Claim)>,
+    /// The key was found claimed by another request.
+    seen_another: bool,
+    conflicts: u32,
+}
+
+#[derive(Debug)]
+struct Wanted {
+    upstream: UpstreamId,
+    agent_process: ProcessId,
+    writer: Writer,
+    wall_ms: u64,
+}
+
+impl Claiming {
+    /// A request that has claimed nothing.
+    pub fn new(start: Start, now: Instant) -> Claiming {
+        Claiming {
+            gives_up_at: start.deadline.min(now + PATIENCE),
+            start,
+            wanted: None,
+            replaced: None,
+            unread: None,
+            awaited: None,
+            asked: None,
+            held: None,
+            seen_another: false,
+            conflicts: 0,
+        }
+    }
+
+    /// The claim that this request acts under.
+    pub fn held(&self) -> Option<(Revision, &Claim)> {
+        self.held.as_ref().map(|(revision, claim)| (*revision, claim))
+    }
+
+    /// A write that may stand in the store and that this request never acted under.
+    pub fn abandoned(&self) -> Option<&Claim> {
+        self.unread.as_ref()
+    }
+
+    /// Takes what happened and says what to do.
+    pub fn on_event(&mut self, event: Event, now: Instant) -> Next {
+        match event {
+            Event::Placed { upstream, agent_process, nonce, wall_ms } => {
+                let writer = Writer { process: self.start.process.clone(), nonce };
+                self.wanted = Some(Wanted { upstream, agent_process, writer, wall_ms });
+                self.gives_up_at = self.start.deadline.min(now + PATIENCE);
+                // Whoever places again knows that the claim held so far does not run.
+                self.replaced = self.held.take().or(self.replaced.take());
+                self.write()
+            }
+            Event::Wrote(result) => self.on_wrote(result, now),
+            Event::Read(Ok(found)) => self.on_found(found, now),
+            Event::Read(Err(error)) => self.on_unread(&error, now),
+            Event::Paused => Next::Read,
+            Event::Settled(word) => self.on_settled(word, now),
+        }
+    }
+
+    fn write(&mut self) -> Next {
+        let Some(wanted) = &self.wanted else { return Next::Answer(internal()) };
+        let epoch = self.replaced.as_ref().map_or(0, |(_, claim)| claim.epoch.0) + 1;
+        let claim = Claim {
+            customer: self.start.customer.clone(),
+            idempotency_key: self.start.idempotency_key.clone(),
+            call_sha256: self.start.call_sha256.clone(),
+            epoch: DispatchEpoch(epoch),
+            writer: wanted.writer.clone(),
+            upstream: wanted.upstream.clone(),
+            agent_process: wanted.agent_process.clone(),
+            claimed_at_ms: wanted.wall_ms,
+            state: State::Claimed,
+            settled_by: None,
+        };
+        self.unread = Some(claim.clone());
+        let expected = self.replaced.as_ref().map(|(revision, _)| *revision);
+        Next::Write { claim: Box::new(claim), expected }
+    }
+
+    fn on_wrote(&mut self, result: Result<SwapResult, StoreError>, now: Instant) -> Next {
+        match result {
+            Ok(SwapResult::Written(revision)) => match self.unread.take() {
+                Some(claim) => self.dispatch(revision, claim, now),
+                None => Next::Answer(internal()),
+            },
+            // A conflict may be with an earlier write of this request whose reply was lost.
+            Ok(SwapResult::Conflict(_)) => {
+                self.conflicts += 1;
+                Next::Read
+            }
+            Err(StoreError::Unknown(_)) => self.read_unless_late(now),
+            Err(error) => {
+                self.unread = None;
+                Next::Answer(self.store_failed(&error))
+            }
+        }
+    }
+
+    /// Another request may have run the call in the meantime where the claim is late.
+    fn dispatch(&mut self, revision: Revision, claim: Claim, now: Instant) -> Next {
+        self.held = Some((revision, claim.clone()));
+        if now >= self.start.deadline {
+            return Next::Answer(Refusal::not_run(ResultCode::DeadlinePassed));
+        }
+        Next::Dispatch { claim: Box::new(claim), revision }
+    }
+
+    fn on_unread(&mut self, error: &StoreError, now: Instant) -> Next {
+        if now + READ_PAUSE >= self.gives_up_at {
+            return Next::Answer(self.store_failed(error));
+        }
+        Next::Pause(READ_PAUSE)
+    }
+
+    fn read_unless_late(&self, now: Instant) -> Next {
+        if now >= self.gives_up_at {
+            let error = StoreError::Unknown("no answer in time".to_owned());
+            return Next::Answer(self.store_failed(&error));
+        }
+        Next::Read
+    }
+
+    fn on_found(&mut self, found: Option<(Revision, Box<Claim>)>, now: Instant) -> Next {
+        let Some((revision, claim)) = found else {
+            // A write still on its way says the same as this one; only one of them can take effect.
+            self.replaced = None;
+            return if now >= self.gives_up_at { self.read_unless_late(now) } else { self.write() };
+        };
+        let claim = *claim;
+        let own = self.unread.as_ref().is_some_and(|unread| unread.writer == claim.writer);
+        if own && claim.state == State::Claimed {
+            self.unread = None;
+            return self.dispatch(revision, claim, now);
+        }
+        if claim.call_sha256 != self.start.call_sha256 {
+            return Next::Answer(Refusal::not_run(ResultCode::IdempotencyKeyReused));
+        }
+        match &claim.state {
+            State::Ran { answer: Some(answer) } => Next::Replay(answer.clone()),
+            State::Ran { answer: None } => Next::Answer(already_ran()),
+            State::NotRun => self.replace(revision, claim),
+            State::Claimed => self.on_another(revision, claim, now),
+        }
+    }
+
+    fn replace(&mut self, revision: Revision, claim: Claim) -> Next {
+        if self.conflicts > CONFLICT_LIMIT {
+            return Next::Answer(already_running());
+        }
+        self.replaced = Some((revision, claim));
+        self.write()
+    }
+
+    fn on_another(&mut self, revision: Revision, claim: Claim, now: Instant) -> Next {
+        let replaceable = self.replaced.as_ref().is_some_and(|(known, _)| *known == revision);
+        if replaceable {
+            return self.replace(revision, claim);
+        }
+        self.seen_another = true;
+        match self.awaited {
+            Some((awaited, since)) if awaited == revision => {
+                if now < since + CLAIM_GRACE {
+                    return Next::Pause(since + CLAIM_GRACE - now);
+                }
+            }
+            _ => {
+                self.awaited = Some((revision, now));
+                return Next::Pause(CLAIM_GRACE);
+            }
+        }
+        if now >= self.gives_up_at {
+            return Next::Answer(already_running());
+        }
+        self.asked = Some((revision, claim.clone()));
+        Next::Settle { claim: Box::new(claim), revision }
+    }
+
+    fn on_settled(&mut self, word: AgentWord, now: Instant) -> Next {
+        let Some((revision, claim)) = self.asked.take() else {
+            return Next::Answer(internal());
+        };
+        let boxed = || Box::new(claim.clone());
+        match word {
+            AgentWord::Held(process) if process == claim.agent_process => {
+                self.held = Some((revision, claim.clone()));
+                Next::Join { claim: boxed(), revision }
+            }
+            AgentWord::NeverRuns(process) if process == claim.agent_process => {
+                self.replace(revision, claim)
+            }
+            AgentWord::Ran(process) if process == claim.agent_process => {
+                Next::NoteRan { claim: boxed(), revision }
+            }
+            AgentWord::Unreachable if now + CLAIM_GRACE < self.gives_up_at => {
+                Next::Pause(CLAIM_GRACE)
+            }
+            AgentWord::Unreachable => Next::Answer(unsettled("does not answer", &claim)),
+            AgentWord::Unknown(process) if process == claim.agent_process => {
+                Next::Answer(unsettled("cannot say what became of it", &claim))
+            }
+            // Another process stands in its place and has seen nothing of the call.
+            _ => Next::Answer(unsettled("has ended", &claim)),
+        }
+    }
+
+    /// The answer where the store failed before anything was handed over for this request.
+    fn store_failed(&self, error: &StoreError) -> Refusal {
+        let outcome = if self.seen_another || self.conflicts > 0 {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        let wait = match error {
+            StoreError::Throttled(wait) => *wait,
+            StoreError::Unavailable(_) | StoreError::Unknown(_) => STORE_RETRY_AFTER,
+        };
+        let message = format!("{error}; ask again with the same Idempotency-Key");
+        Refusal::new(ResultCode::StoreUnavailable, outcome)
+            .with_message(message)
+            .with_retry_after(wait)
+    }
+}
+
+fn internal() -> Refusal {
+    Refusal::not_run(ResultCode::Internal)
+}
+
+fn already_ran() -> Refusal {
+    Refusal::new(ResultCode::AlreadyRan, Outcome::Ran)
+}
+
+fn already_running() -> Refusal {
+    Refusal::new(ResultCode::AlreadyRunning, Outcome::Unknown).with_retry_after(RETRY_AFTER)
+}
+
+fn unsettled(why: &str, claim: &Claim) -> Refusal {
+    let message = format!(
+        "The agent of {} that this call was handed to {why}; an operator can settle it.",
+        claim.upstream
+    );
+    Refusal::new(ResultCode::UpstreamLost, Outcome::Unknown)
+        .with_message(message)
+        .with_retry_after(RETRY_AFTER)
+}
--- /dev/null
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -0,0 +1,188 @@
+//! Claims: a non-idempotent call is handed over only under a claim in the platform's store.
+//!
+//! A claim names the agent process that may run the call. Its identity at that agent is the store
+//! revision of the write that made it, so that no two dispatches of a key are ever alike and a
+//! later one can be told from an earlier one. The ways that were weighed: `docs/design/claims.md`.
+
+mod claiming;
+mod settle;
+
+use std::time::SystemTime;
+
+use errors::Outcome;
+use identity::{CustomerId, DispatchEpoch, ProcessId, RequestId, UpstreamId};
+use platform::{Revision, StoreError};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use wire::{RequestKey, ServiceCall};
+
+pub use claiming::{AgentWord, Claiming, Event, Next, Start};
+pub use settle::{Settlement, Unsettled, list_unsettled, read_claim, settle_claim};
+
+/// Largest answer that is kept in a claim.
+pub const ANSWER_LIMIT_BYTES: usize = 16 * 1024;
+
+/// Start of the store keys of all claims.
+pub const PREFIX: &str = "claims/";
+
+/// Hexadecimal digits of a shard's name.
+const SHARD_DIGITS: usize = 2;
+
+/// The claim of one idempotency key of one customer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Claim {
+    /// The customer who asked.
+    pub customer: CustomerId,
+    /// The customer's key for the call.
+    pub idempotency_key: String,
+    /// SHA-256 of the call, in hexadecimal.
+    pub call_sha256: String,
+    /// Adds one with each claim on the key.
+    pub epoch: DispatchEpoch,
+    /// Who wrote this state of the claim.
+    pub writer: Writer,
+    /// The upstream that may run the call.
+    pub upstream: UpstreamId,
+    /// The agent process that may hand it over.
+    pub agent_process: ProcessId,
+    /// When the claim was made, in milliseconds since 1970.
+    pub claimed_at_ms: u64,
+    /// How far it has come.
+    pub state: State,
+    /// The operator who settled it, if one did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub settled_by: Option<SettledBy>,
+}
+
+/// One write of one process; told apart from every other write.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Writer {
+    /// The process that wrote.
+    pub process: ProcessId,
+    /// Drawn for the write.
+    pub nonce: u64,
+}
+
+/// How far a claim has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum State {
+    /// The named agent process may hold the call; it is asked what became of it.
+    Claimed,
+    /// The call ran.
+    Ran {
+        /// Its answer, where it was small text.
+        answer: Option<KeptAnswer>,
+    },
+    /// The call did not run and will not under this claim.
+    NotRun,
+}
+
+/// An answer kept for a caller who asks again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+    /// The body.
+    pub body: String,
+}
+
+/// An operator's word on a claim, kept with it as its audit record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettledBy {
+    /// Who.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// When, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+impl Claim {
+    /// The key of this claim in the store.
+    pub fn store_key(&self) -> String {
+        store_key(&self.customer, &self.idempotency_key)
+    }
+
+    /// The identity at the agent of the dispatch that the write at `revision` allows.
+    pub fn request_key(&self, revision: Revision) -> RequestKey {
+        // Callers cannot choose a request id that holds a slash.
+        let id = format!("once/{}/{}", self.idempotency_key, revision.0);
+        RequestKey { customer: self.customer.clone(), request_id: RequestId::new(id) }
+    }
+
+    /// The part of the claim that goes with the dispatch.
+    pub fn for_agent(&self, revision: Revision) -> wire::Claim {
+        wire::Claim { revision: revision.0, agent_process: self.agent_process.clone() }
+    }
+
+    /// The claim in another state, as `writer` writes it.
+    pub fn moved_to(&self, state: State, writer: Writer) -> Claim {
+        Claim { state, writer, ..self.clone() }
+    }
+
+    /// The stored form.
+    pub fn to_text(&self) -> Result<String, StoreError> {
+        serde_json::to_string(self).map_err(|error| StoreError::Unavailable(error.to_string()))
+    }
+
+    /// Reads the stored form.
+    pub fn from_text(text: &str) -> Result<Claim, StoreError> {
+        serde_json::from_str(text)
+            .map_err(|error| StoreError::Unknown(format!("claim not understood: {error}")))
+    }
+}
+
+impl State {
+    /// The state of a call that ran with this answer.
+    pub fn ran(status: u16, content_type: &str, body: &[u8]) -> State {
+        let body = std::str::from_utf8(body).ok().filter(|body| body.len() <= ANSWER_LIMIT_BYTES);
+        let answer = body.map(|body| KeptAnswer {
+            status,
+            content_type: content_type.to_owned(),
+            body: body.to_owned(),
+        });
+        State::Ran { answer }
+    }
+
+    /// The state to write where a dispatch ended with this outcome; none while it is open.
+    pub fn of_outcome(outcome: Outcome) -> Option<State> {
+        match outcome {
+            Outcome::NotRun => Some(State::NotRun),
+            Outcome::Ran => Some(State::Ran { answer: None }),
+            Outcome::Unknown => None,
+        }
+    }
+}
+
+/// The store key of the claim on an idempotency key.
+pub fn store_key(customer: &CustomerId, idempotency_key: &str) -> String {
+    let mut hash = Sha256::new();
+    hash.update(customer.as_str());
+    hash.update([0]);
+    hash.update(idempotency_key);
+    let name = hex::encode(hash.finalize());
+    format!("{PREFIX}{}/{name}", &name[..SHARD_DIGITS])
+}
+
+/// SHA-256 of everything that makes two calls the same.
+pub fn call_digest(call: &ServiceCall) -> String {
+    let mut hash = Sha256::new();
+    for part in [call.service.as_str(), &call.method, &call.target, &call.content_type] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.update(&call.body);
+    hex::encode(hash.finalize())
+}
+
+/// Milliseconds since 1970.
+pub(crate) fn milliseconds(wall: SystemTime) -> u64 {
+    wall.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/components/entry/src/shell/callers.rs
+++ b/components/entry/src/shell/callers.rs
@@ -6,16 +6,17 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use errors::{Refusal, ResultCode};
-use identity::{DispatchEpoch, UpstreamId};
+use errors::{Outcome, Refusal, ResultCode};
+use identity::{DispatchEpoch, RequestId, UpstreamId};
 use log::{info, warn};
 use tokio::runtime;
 use tokio::sync::{mpsc, oneshot};
 use tonic::Streaming;
 use web::{Body, Handler, Headers, Request, Response};
-use wire::{AnswerEvent, RequestKey, v1};
+use wire::{AnswerEvent, RequestKey, Work, v1};
 
 use super::Shared;
+use super::claims::{Acquired, OnceOnly};
 use crate::filters::dispatch::{Dispatch, Event, Next};
 use crate::filters::{Exchange, Job, View};
 
@@ -28,6 +29,9 @@
 /// When to come back to a process that has no configuration yet.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
+/// How often a non-idempotent call is claimed for one upstream.
+const CLAIM_LIMIT: u32 = 4;
+
 /// Pieces of an answer that wait for their caller.
 const ANSWER_QUEUE: usize = 32;
 
@@ -97,6 +101,10 @@
     epoch: DispatchEpoch,
     opening: Option<OpeningSender>,
     pieces: mpsc::Sender<Bytes>,
+    /// Set for a non-idempotent call.
+    once: Option<OnceOnly>,
+    /// The id that the caller knows the request by; `key` is its identity at the agent.
+    request_id: RequestId,
 }
 
 impl Delivery {
@@ -118,7 +126,15 @@
                 return;
             }
         };
+        let once = match &job.work {
+            Work::Service(call) if job.once_only => {
+                Some(OnceOnly::new(shared.clone(), &key, call, arrived + job.deadline))
+            }
+            _ => None,
+        };
         let mut delivery = Delivery {
+            once,
+            request_id: key.request_id.clone(),
             shared,
             request,
             arrived,
@@ -136,7 +152,7 @@
         let mut dispatch = Dispatch::new();
         loop {
             self.shared.update_heard(&upstream, |heard| heard.own_outstanding += 1);
-            let end = self.follow(&mut dispatch, &upstream).await;
+            let end = self.attempt(&mut dispatch, &upstream).await;
             self.shared.update_heard(&upstream, |heard| heard.own_outstanding -= 1);
             let End::PlaceAgain = end else { return self.finish(end, &upstream) };
             self.excluded.push(upstream);
@@ -152,19 +168,76 @@
         }
     }
 
+    /// Claims a non-idempotent call, then follows the request. Where the agent refused the claim
+    /// itself, because another asked after it or the agent is a new process, it is claimed anew.
+    async fn attempt(&mut self, dispatch: &mut Dispatch, upstream: &UpstreamId) -> End {
+        if self.once.is_none() {
+            return self.follow(dispatch, upstream, None).await;
+        }
+        for _ in 1..CLAIM_LIMIT {
+            let end = self.attempt_claimed(dispatch, upstream).await;
+            let withdrawn = matches!(&end, End::Refused(refusal) if is_withdrawn(refusal));
+            if !withdrawn {
+                return end;
+            }
+        }
+        self.attempt_claimed(dispatch, upstream).await
+    }
+
+    async fn attempt_claimed(&mut self, dispatch: &mut Dispatch, upstream: &UpstreamId) -> End {
+        let Some(once) = &mut self.once else { return End::PlaceAgain };
+        let acquired = once.acquire(upstream).await;
+        if let Some(key) = once.request_key() {
+            self.key = key;
+        }
+        let end = match acquired {
+            Acquired::Dispatch(claim) => self.follow(dispatch, upstream, Some(claim)).await,
+            Acquired::Join(upstream) => {
+                self.follow_from(dispatch, &upstream, None, Event::Known).await
+            }
+            Acquired::PlaceAgain => End::PlaceAgain,
+            Acquired::Replay(answer) => {
+                self.open(answer.status, answer.content_type);
+                let _ = self.pieces.send(answer.body.into()).await;
+                End::Whole
+            }
+            Acquired::Refused(refusal) => End::Refused(refusal),
+        };
+        if let (End::PlaceAgain | End::Refused(_), Some(once)) = (&end, &self.once) {
+            once.forget_process(upstream);
+        }
+        end
+    }
+
     /// Follows the request on one upstream until it ends or is to be placed again.
-    async fn follow(&mut self, dispatch: &mut Dispatch, upstream: &UpstreamId) -> End {
+    async fn follow(
+        &mut self,
+        dispatch: &mut Dispatch,
+        upstream: &UpstreamId,
+        claim: Option<v1::Claim>,
+    ) -> End {
         let Some(mut agent) = self.client(upstream) else { return End::PlaceAgain };
-        let message = self.message();
-        let mut stream = None;
-        let mut event = match timed(agent.dispatch(message)).await {
+        let message = v1::DispatchRequest { claim, ..self.message() };
+        match timed(agent.dispatch(message)).await {
             Some(Ok(opened)) => {
-                stream = Some(opened.into_inner());
-                None
+                let progress = Event::Said(AnswerEvent::Progress { handed_over: false });
+                self.follow_from(dispatch, upstream, Some(opened.into_inner()), progress).await
             }
-            Some(Err(status)) if is_not_sent(&status) => Some(Event::NotSent),
-            _ => Some(Event::ContactLost),
-        };
+            Some(Err(status)) if is_not_sent(&status) => {
+                self.follow_from(dispatch, upstream, None, Event::NotSent).await
+            }
+            _ => self.follow_from(dispatch, upstream, None, Event::ContactLost).await,
+        }
+    }
+
+    async fn follow_from(
+        &mut self,
+        dispatch: &mut Dispatch,
+        upstream: &UpstreamId,
+        mut stream: Option<Streaming<v1::DispatchEvent>>,
+        first: Event,
+    ) -> End {
+        let mut event = Some(first);
         loop {
             let happened = match event.take() {
                 Some(event) => event,
@@ -174,7 +247,10 @@
                 Next::Wait => {}
                 Next::Head { status, content_type } => self.open(status, content_type),
                 Next::Piece(bytes) => {
-                    if self.pieces.send(bytes).await.is_err() {
+                    if let Some(once) = &mut self.once {
+                        once.on_piece(&bytes);
+                    }
+                    if self.pieces.send(bytes).await.is_err() && self.once.is_none() {
                         self.cancel(upstream).await;
                         return End::CallerGone;
                     }
@@ -228,19 +304,28 @@
     /// Asks the agent, on a new connection, what became of the request.
     async fn ask(&self, upstream: &UpstreamId) -> Event {
         let Some(mut agent) = self.fresh_client(upstream) else { return Event::NotAsked };
-        let request =
-            v1::SettleRequest { key: Some((&self.key).into()), dispatch_epoch: self.epoch.0 };
+        let request = v1::SettleRequest {
+            key: Some((&self.key).into()),
+            dispatch_epoch: self.epoch.0,
+            claim: self.once.as_ref().and_then(OnceOnly::claim),
+        };
         let answer = tokio::time::timeout(ASK_TIMEOUT, agent.settle(request)).await;
         let Ok(Ok(reply)) = answer else {
             tokio::time::sleep(ASK_TIMEOUT / 4).await;
             return Event::NotAsked;
         };
-        match reply.into_inner().state() {
+        let reply = reply.into_inner();
+        if self.once.as_ref().is_some_and(|once| !once.is_named(&reply.process)) {
+            return Event::NotAsked;
+        }
+        match reply.state() {
             v1::RequestState::Withdrawn | v1::RequestState::NotRun => Event::NeverRun,
             v1::RequestState::Queued | v1::RequestState::Running | v1::RequestState::Finished => {
                 Event::Known
             }
-            v1::RequestState::Unspecified => Event::NotAsked,
+            v1::RequestState::Ran | v1::RequestState::Unknown | v1::RequestState::Unspecified => {
+                Event::NotAsked
+            }
         }
     }
 
@@ -308,13 +393,21 @@
     }
 
     fn open(&mut self, status: u16, content_type: String) {
+        if let Some(once) = &mut self.once {
+            once.on_head(status, &content_type);
+        }
         if let Some(opening) = self.opening.take() {
-            let id = self.key.request_id.to_string();
+            let id = self.request_id.to_string();
             let _ = opening.send((id, Opening::Head { status, content_type }));
         }
     }
 
     fn finish(&mut self, end: End, upstream: &UpstreamId) {
+        match (&mut self.once, &end) {
+            (Some(once), End::Whole) => once.on_whole(),
+            (Some(once), End::Refused(refusal)) => once.on_refused(refusal.outcome),
+            _ => {}
+        }
         let took = self.shared.clock.now().saturating_duration_since(self.arrived);
         let result = match &end {
             End::Whole => "whole",
@@ -325,13 +418,13 @@
         self.shared.metrics.count(Some(self.job.tier), result, took.as_secs_f64());
         info!(
             "request={} customer={} tier={} upstream={upstream} result={result} ms={}",
-            self.key.request_id,
+            self.request_id,
             self.key.customer,
             self.job.tier,
             took.as_millis()
         );
         if let (End::Refused(refusal), Some(opening)) = (end, self.opening.take()) {
-            let _ = opening.send((self.key.request_id.to_string(), Opening::Refused(refusal)));
+            let _ = opening.send((self.request_id.to_string(), Opening::Refused(refusal)));
         }
     }
 }
@@ -366,6 +459,10 @@
     tokio::time::timeout(SILENCE_LIMIT, call).await.ok()
 }
 
+fn is_withdrawn(refusal: &Refusal) -> bool {
+    refusal.code == ResultCode::Withdrawn && refusal.outcome == Outcome::NotRun
+}
+
 /// Whether a failed call was certainly never sent.
 fn is_not_sent(status: &tonic::Status) -> bool {
     let source = std::error::Error::source(status);
--- /dev/null
+++ b/components/entry/src/shell/claims.rs
@@ -0,0 +1,315 @@
+//! Takes a non-idempotent call to its claim, and notes in the claim what became of it.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use errors::{Outcome, Refusal, ResultCode};
+use identity::{ProcessId, UpstreamId};
+use log::{info, warn};
+use platform::{Revision, StoreError, SwapResult};
+use tonic::transport::Channel;
+use wire::v1::agent_client::AgentClient;
+use wire::{RequestKey, ServiceCall, v1};
+
+use super::Shared;
+use crate::controllers::claims::{
+    ANSWER_LIMIT_BYTES, AgentWord, Claim, Claiming, Event, KeptAnswer, Next, Start, State, Writer,
+    call_digest, milliseconds, read_claim, store_key,
+};
+
+/// How long an agent may take to answer a question.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// How long the outcome of a call is tried to be written while the store fails.
+const NOTE_PATIENCE: Duration = Duration::from_secs(600);
+
+/// The same on a process that is to stop.
+const NOTE_PATIENCE_DRAINING: Duration = Duration::from_secs(5);
+
+/// Pause between two such tries.
+const NOTE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Agent processes last seen beside upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct AgentProcesses(Mutex<HashMap<UpstreamId, ProcessId>>);
+
+impl AgentProcesses {
+    fn get(&self, upstream: &UpstreamId) -> Option<ProcessId> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(upstream).cloned()
+    }
+
+    fn set(&self, upstream: &UpstreamId, process: Option<ProcessId>) {
+        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match process {
+            Some(process) => processes.insert(upstream.clone(), process),
+            None => processes.remove(upstream),
+        };
+    }
+}
+
+/// How a non-idempotent call goes on.
+pub(super) enum Acquired {
+    /// Hand it over under this claim.
+    Dispatch(v1::Claim),
+    /// Read its answer from this upstream's agent.
+    Join(UpstreamId),
+    /// Nothing was claimed; try another upstream.
+    PlaceAgain,
+    /// Give the answer kept from before.
+    Replay(KeptAnswer),
+    /// End with this.
+    Refused(Refusal),
+}
+
+/// A non-idempotent call between its arrival and the end of its answer.
+pub(super) struct OnceOnly {
+    shared: Arc<Shared>,
+    claiming: Claiming,
+    store_key: String,
+    head: Option<(u16, String)>,
+    body: Vec<u8>,
+    done: bool,
+}
+
+impl OnceOnly {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        key: &RequestKey,
+        call: &ServiceCall,
+        deadline: Instant,
+    ) -> OnceOnly {
+        let start = Start {
+            customer: key.customer.clone(),
+            idempotency_key: call.idempotency_key.clone(),
+            call_sha256: call_digest(call),
+            process: shared.process.clone(),
+            deadline,
+        };
+        let claiming = Claiming::new(start, shared.clock.now());
+        let store_key = store_key(&key.customer, &call.idempotency_key);
+        OnceOnly { shared, claiming, store_key, head: None, body: Vec::new(), done: false }
+    }
+
+    /// Brings the call to a claim for `upstream`, or to what became of an earlier claim.
+    pub(super) async fn acquire(&mut self, upstream: &UpstreamId) -> Acquired {
+        let Some(agent_process) = self.learn_process(upstream).await else {
+            return Acquired::PlaceAgain;
+        };
+        let mut event = Event::Placed {
+            upstream: upstream.clone(),
+            agent_process,
+            nonce: rand::random(),
+            wall_ms: milliseconds(self.shared.clock.wall()),
+        };
+        loop {
+            event = match self.claiming.on_event(event, self.shared.clock.now()) {
+                Next::Write { claim, expected } => Event::Wrote(self.write(&claim, expected).await),
+                Next::Read => {
+                    let found = read_claim(&*self.shared.store, &self.store_key).await;
+                    Event::Read(found.map(|found| found.map(|(at, claim)| (at, Box::new(claim)))))
+                }
+                Next::Pause(pause) => {
+                    tokio::time::sleep(pause).await;
+                    Event::Paused
+                }
+                Next::Settle { claim, revision } => {
+                    Event::Settled(self.settle(&claim, revision).await)
+                }
+                Next::Dispatch { claim, revision } => {
+                    return Acquired::Dispatch((&claim.for_agent(revision)).into());
+                }
+                Next::Join { claim, .. } => return Acquired::Join(claim.upstream.clone()),
+                Next::NoteRan { claim, revision } => {
+                    self.note(revision, *claim, State::Ran { answer: None });
+                    let refusal = Refusal::new(ResultCode::AlreadyRan, Outcome::Ran);
+                    return Acquired::Refused(refusal);
+                }
+                Next::Replay(answer) => return Acquired::Replay(answer),
+                Next::Answer(refusal) => return Acquired::Refused(refusal),
+            };
+        }
+    }
+
+    /// The identity of the call at the agent, once it is claimed.
+    pub(super) fn request_key(&self) -> Option<RequestKey> {
+        self.claiming.held().map(|(revision, claim)| claim.request_key(revision))
+    }
+
+    /// The claim that goes with questions to the agent.
+    pub(super) fn claim(&self) -> Option<v1::Claim> {
+        self.claiming.held().map(|(revision, claim)| (&claim.for_agent(revision)).into())
+    }
+
+    /// Whether the process that answered is the one that the call was handed to.
+    pub(super) fn is_named(&self, process: &str) -> bool {
+        self.claiming.held().is_some_and(|(_, claim)| claim.agent_process.as_str() == process)
+    }
+
+    /// Forgets the agent process of an upstream, so that it is asked for again.
+    pub(super) fn forget_process(&self, upstream: &UpstreamId) {
+        self.shared.agent_processes.set(upstream, None);
+    }
+
+    /// Notes the head of the answer.
+    pub(super) fn on_head(&mut self, status: u16, content_type: &str) {
+        self.head = Some((status, content_type.to_owned()));
+    }
+
+    /// Notes a piece of the answer.
+    pub(super) fn on_piece(&mut self, piece: &Bytes) {
+        if self.body.len() <= ANSWER_LIMIT_BYTES {
+            self.body.extend_from_slice(piece);
+        }
+    }
+
+    /// Notes in the claim that the answer arrived whole.
+    pub(super) fn on_whole(&mut self) {
+        let (status, content_type) = self.head.take().unwrap_or_default();
+        self.end(Some(State::ran(status, &content_type, &self.body)));
+    }
+
+    /// Notes in the claim how the call ended without its whole answer.
+    pub(super) fn on_refused(&mut self, outcome: Outcome) {
+        self.end(State::of_outcome(outcome));
+    }
+
+    fn end(&mut self, state: Option<State>) {
+        if std::mem::replace(&mut self.done, true) {
+            return;
+        }
+        if let (Some((revision, claim)), Some(state)) = (self.claiming.held(), state) {
+            self.note(revision, claim.clone(), state);
+        }
+        if let Some(claim) = self.claiming.abandoned() {
+            let release = release(self.shared.clone(), claim.clone());
+            self.in_background(release);
+        }
+    }
+
+    fn note(&self, revision: Revision, claim: Claim, state: State) {
+        let moved = claim.moved_to(state, new_writer(&self.shared.process));
+        self.in_background(note(self.shared.clone(), revision, moved));
+    }
+
+    fn in_background(&self, work: impl Future<Output = ()> + Send + 'static) {
+        let shared = self.shared.clone();
+        shared.in_flight.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(async move {
+            work.await;
+            shared.in_flight.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+
+    async fn write(
+        &self,
+        claim: &Claim,
+        expected: Option<Revision>,
+    ) -> Result<SwapResult, StoreError> {
+        let text = claim.to_text()?;
+        self.shared.store.swap(&self.store_key, expected, &text, None).await
+    }
+
+    async fn learn_process(&self, upstream: &UpstreamId) -> Option<ProcessId> {
+        if let Some(process) = self.shared.agent_processes.get(upstream) {
+            return Some(process);
+        }
+        let mut agent = client(&self.shared, upstream, false)?;
+        let request = v1::ReportRequest { asked_by: self.shared.process.as_str().to_owned() };
+        let answer = tokio::time::timeout(ASK_TIMEOUT, agent.report(request)).await;
+        let process = ProcessId::new(answer.ok()?.ok()?.into_inner().process);
+        self.shared.agent_processes.set(upstream, Some(process.clone()));
+        Some(process)
+    }
+
+    /// Asks the agent named in a claim; where it never saw the call, it refuses it from now on.
+    async fn settle(&self, claim: &Claim, revision: Revision) -> AgentWord {
+        let Some(mut agent) = client(&self.shared, &claim.upstream, true) else {
+            return AgentWord::Unreachable;
+        };
+        let request = v1::SettleRequest {
+            key: Some((&claim.request_key(revision)).into()),
+            dispatch_epoch: claim.epoch.0,
+            claim: Some((&claim.for_agent(revision)).into()),
+        };
+        let answer = tokio::time::timeout(ASK_TIMEOUT, agent.settle(request)).await;
+        let Ok(Ok(reply)) = answer else { return AgentWord::Unreachable };
+        let reply = reply.into_inner();
+        let process = ProcessId::new(reply.process.clone());
+        self.shared.agent_processes.set(&claim.upstream, Some(process.clone()));
+        match reply.state() {
+            v1::RequestState::Withdrawn | v1::RequestState::NotRun => AgentWord::NeverRuns(process),
+            v1::RequestState::Queued | v1::RequestState::Running | v1::RequestState::Finished => {
+                AgentWord::Held(process)
+            }
+            v1::RequestState::Ran => AgentWord::Ran(process),
+            v1::RequestState::Unknown | v1::RequestState::Unspecified => {
+                AgentWord::Unknown(process)
+            }
+        }
+    }
+}
+
+/// A writer id that no other write has.
+pub(super) fn new_writer(process: &ProcessId) -> Writer {
+    Writer { process: process.clone(), nonce: rand::random() }
+}
+
+fn client(shared: &Shared, upstream: &UpstreamId, fresh: bool) -> Option<AgentClient<Channel>> {
+    let address = shared.in_force.load()?.document.upstreams.get(upstream)?.agent;
+    if fresh {
+        shared.agents.replace(address);
+    }
+    shared.agents.client(address).ok()
+}
+
+/// Writes the outcome of a claim, again and again while the store fails.
+async fn note(shared: Arc<Shared>, revision: Revision, claim: Claim) {
+    let Ok(text) = claim.to_text() else { return };
+    let key = claim.store_key();
+    let began_at = shared.clock.now();
+    loop {
+        match shared.store.swap(&key, Some(revision), &text, None).await {
+            // Where the reply was lost, the next try conflicts with the first.
+            Ok(SwapResult::Written(_) | SwapResult::Conflict(_)) => return,
+            Err(error) if is_overdue(&shared, began_at) => {
+                warn!("claim customer={} not noted: {error}", claim.customer);
+                return;
+            }
+            Err(_) => tokio::time::sleep(NOTE_PAUSE).await,
+        }
+    }
+}
+
+/// Frees a key whose claim may stand in the store although its request has been refused.
+async fn release(shared: Arc<Shared>, claim: Claim) {
+    let key = claim.store_key();
+    let began_at = shared.clock.now();
+    loop {
+        match read_claim(&*shared.store, &key).await {
+            Ok(Some((revision, found))) => {
+                if found.writer == claim.writer && found.state == State::Claimed {
+                    info!("claim customer={} released", claim.customer);
+                    let freed = found.moved_to(State::NotRun, new_writer(&shared.process));
+                    note(shared, revision, freed).await;
+                }
+                return;
+            }
+            // The write may still be on its way.
+            Ok(None) | Err(_) => {
+                if is_overdue(&shared, began_at) {
+                    return;
+                }
+                tokio::time::sleep(NOTE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn is_overdue(shared: &Shared, began_at: Instant) -> bool {
+    let draining = shared.draining.load(Ordering::SeqCst);
+    let patience = if draining { NOTE_PATIENCE_DRAINING } else { NOTE_PATIENCE };
+    shared.clock.now().saturating_duration_since(began_at) >= patience
+}
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+mod claims;
 mod metrics;
 mod operators;
 mod refresh;
@@ -15,7 +16,7 @@
 use anyhow::{Context, Result};
 use clock::Clock;
 use configuration::InForce;
-use identity::UpstreamId;
+use identity::{ProcessId, UpstreamId};
 use log::info;
 use platform::{HostList, HttpHostList, HttpStore, KeyValueStore};
 use tokio::task::JoinHandle;
@@ -49,12 +50,14 @@
 
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    pub(crate) process: ProcessId,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) store: Arc<dyn KeyValueStore>,
     pub(crate) host_list: Arc<dyn HostList>,
     pub(crate) in_force: InForce,
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
+    pub(crate) agent_processes: claims::AgentProcesses,
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -73,6 +76,8 @@
             in_force: InForce::new(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
+            agent_processes: claims::AgentProcesses::default(),
+            process: ProcessId::random(),
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -12,6 +12,8 @@
 
 use super::Shared;
 use super::callers::refuse;
+use super::claims::new_writer;
+use crate::controllers::claims::{Settlement, list_unsettled, settle_claim};
 use crate::controllers::configuration::{Submission, read_current, submit_patch};
 
 pub(crate) struct Operators {
@@ -54,6 +56,8 @@
         ("GET", "/metrics") => Response::whole(200, "text/plain", shared.metrics.render()),
         ("GET", "/configuration") => configuration(shared).await,
         ("POST", "/configuration/patches") => patch(shared, &request).await,
+        ("GET", "/claims/unsettled") => unsettled(shared).await,
+        ("POST", "/claims/settlements") => settle(shared, &request).await,
         ("GET", "/upstreams") => Response::json(200, &upstreams(shared)),
         _ => refuse(&Refusal::not_run(ResultCode::NotFound), ""),
     }
@@ -97,6 +101,41 @@
     }
 }
 
+async fn unsettled(shared: &Shared) -> Response {
+    match list_unsettled(&*shared.store, shared.clock.wall()).await {
+        Ok(rows) => Response::json(200, &rows),
+        Err(error) => {
+            let refusal = Refusal::not_run(ResultCode::StoreUnavailable);
+            refuse(&refusal.with_message(error.to_string()), "")
+        }
+    }
+}
+
+async fn settle(shared: &Shared, request: &Request) -> Response {
+    let settlement: Settlement = match serde_json::from_slice(&request.body) {
+        Ok(settlement) => settlement,
+        Err(error) => {
+            let refusal = Refusal::not_run(ResultCode::MalformedJson);
+            return refuse(&refusal.with_message(error.to_string()), "");
+        }
+    };
+    let writer = new_writer(&shared.process);
+    match settle_claim(&*shared.store, &settlement, writer, shared.clock.wall()).await {
+        Ok(claim) => {
+            info!(
+                "claim customer={} key={} settled as {} by {}: {}",
+                settlement.customer,
+                settlement.idempotency_key,
+                settlement.outcome.name(),
+                settlement.author,
+                settlement.reason
+            );
+            Response::json(200, &claim)
+        }
+        Err(refusal) => refuse(&refusal, ""),
+    }
+}
+
 fn upstreams(shared: &Shared) -> Vec<UpstreamRow> {
     let Some(snapshot) = shared.in_force.load() else { return Vec::new() };
     let heard = shared.heard().clone();
--- /dev/null
+++ b/components/entry/tests/booking.rs
@@ -0,0 +1,247 @@
+//! The same booking sent to two entry processes at once, over the real shells, with store faults.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agent::{Agent, AgentHandle, UpstreamSettings};
+use clock::{Clock, SystemClock};
+use entry::{Entry, EntryHandle, PlatformSettings};
+use identity::{HostId, UpstreamId, ZoneId};
+use serde_json::{Value, json};
+use standin::hosts::Hosts;
+use standin::service::Service;
+use standin::store::{Faults, Store};
+use web::{Client, Handler, Request, Server, ServerHandle};
+
+const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+const KEY: &str = "seller-demo-key";
+const KEY_SHA256: &str = "7592e31a516f53e163faa414ecf96072df243b42cf12e1bbb6b57d659ddbdf75";
+
+/// Two entries, one booking service with its agent, and the platform.
+struct Site {
+    client: Client,
+    store: Arc<Store>,
+    service: Arc<Service>,
+    entries: Vec<EntryHandle>,
+    agent: AgentHandle,
+    service_address: SocketAddr,
+    platform: PlatformSettings,
+    _servers: Vec<ServerHandle>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+struct Answer {
+    status: u16,
+    body: String,
+}
+
+impl Answer {
+    fn outcome(&self) -> String {
+        let body: Value = serde_json::from_str(&self.body).expect("JSON");
+        body["outcome"].as_str().unwrap_or_default().to_owned()
+    }
+
+    fn name(&self) -> String {
+        let body: Value = serde_json::from_str(&self.body).expect("JSON");
+        body["name"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+fn serve(handler: Arc<dyn Handler>) -> ServerHandle {
+    let address = (LOOPBACK, 0).into();
+    Server { address, workers: 1, body_limit_bytes: 1 << 20 }.bind(handler).expect("bind")
+}
+
+async fn spawn_agent(service: SocketAddr) -> AgentHandle {
+    let settings = agent::Settings {
+        listen: (LOOPBACK, 0).into(),
+        host: HostId::new("desk"),
+        zone: ZoneId::new("riga-a"),
+        upstream: UpstreamId::new("desk"),
+        adapter: UpstreamSettings::HttpService { address: service },
+        slots: 8,
+        log_level: "off".to_owned(),
+    };
+    Agent { settings, clock: Arc::new(SystemClock) }.spawn().await.expect("agent")
+}
+
+async fn spawn_entry(platform: PlatformSettings) -> EntryHandle {
+    let settings = entry::Settings {
+        listen: (LOOPBACK, 0).into(),
+        operators_listen: (LOOPBACK, 0).into(),
+        host: HostId::new("entry"),
+        zone: ZoneId::new("riga-a"),
+        platform,
+        workers: 1,
+        log_level: "off".to_owned(),
+    };
+    Entry { settings, clock: Arc::new(SystemClock) }.spawn().await.expect("entry")
+}
+
+impl Site {
+    async fn spawn(delay: Duration) -> Site {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let store = Arc::new(Store::new(clock.clone()));
+        let service = Arc::new(Service::new(delay));
+        let store_server = serve(store.clone());
+        let hosts = serve(Arc::new(Hosts::new(clock.clone(), Duration::ZERO, &["desk"])));
+        let service_server = serve(service.clone());
+        let service_address = service_server.address();
+        let agent = spawn_agent(service_address).await;
+        let mut entries = Vec::new();
+        let platform =
+            PlatformSettings::Http { store: store_server.address(), host_list: hosts.address() };
+        for _ in 0..2 {
+            entries.push(spawn_entry(platform.clone()).await);
+        }
+        let site = Site {
+            client: Client::spawn().expect("client"),
+            store,
+            service,
+            entries,
+            agent,
+            service_address,
+            platform,
+            _servers: vec![store_server, hosts, service_server],
+        };
+        site.configure().await;
+        site
+    }
+
+    async fn configure(&self) {
+        let document = json!({
+            "regions": { "riga": { "zones": ["riga-a"] } },
+            "services": { "desk": { "calls": [
+                { "method": "POST", "path_prefix": "/bookings", "idempotent": false, "tier": 1 },
+                { "method": "GET", "path_prefix": "/", "idempotent": true, "tier": 1 } ] } },
+            "upstreams": { "desk": { "host": "desk", "zone": "riga-a",
+                "agent": self.agent.address(),
+                "kind": { "service": { "service": "desk", "slots": 8 } } } },
+            "customers": { "seller": { "key_sha256": [KEY_SHA256], "region": "riga",
+                "services": ["desk"], "requests_per_s": 10_000 } },
+        });
+        self.patch(0, &document).await;
+        for entry in 0..self.entries.len() {
+            self.wait_until_ready(entry).await;
+        }
+    }
+
+    async fn patch(&self, against_version: u64, patch: &Value) {
+        let submission = json!({ "against_version": against_version, "author": "test",
+            "patch_id": against_version.to_string(), "patch": patch });
+        let answer = self.operate("POST", "/configuration/patches", &submission).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    async fn wait_until_ready(&self, entry: usize) {
+        let address = self.entries[entry].operators_address();
+        while self.send(address, Request::new("GET", "/readyz")).await.status != 200 {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    async fn send(&self, address: SocketAddr, request: Request) -> Answer {
+        let mut response = self.client.send(address, request, CALL_TIMEOUT).await.expect("answer");
+        let body = response.read().await.expect("body");
+        Answer { status: response.status, body: String::from_utf8_lossy(&body).into_owned() }
+    }
+
+    async fn operate(&self, method: &str, path: &str, body: &Value) -> Answer {
+        let request = Request::new(method, path).body(body.to_string());
+        self.send(self.entries[0].operators_address(), request).await
+    }
+
+    async fn book(&self, entry: usize, key: &str, body: &str) -> Answer {
+        let request = Request::new("POST", "/services/desk/bookings")
+            .header("authorization", &format!("Bearer {KEY}"))
+            .header("idempotency-key", key)
+            .body(body.to_owned());
+        self.send(self.entries[entry].callers_address(), request).await
+    }
+
+    fn runs(&self, key: &str) -> u32 {
+        self.service.runs().get(key).copied().unwrap_or_default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_entries_run_a_booking_once_and_give_both_callers_its_answer() {
+    let site = Site::spawn(Duration::from_millis(50)).await;
+    for round in 0..10 {
+        let key = format!("pitch-{round}");
+        let (one, two) = tokio::join!(site.book(0, &key, "{}"), site.book(1, &key, "{}"));
+        assert_eq!((one.status, &one), (201, &two));
+        assert_eq!(site.runs(&key), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_runs_once_where_the_replies_of_its_claim_are_lost() {
+    let site = Site::spawn(Duration::from_millis(50)).await;
+    site.store.set_faults(Faults { lost_replies: 2, ..Faults::default() });
+    let (one, two) = tokio::join!(site.book(0, "lost", "{}"), site.book(1, "lost", "{}"));
+    assert_eq!((one.status, &one), (201, &two));
+    assert_eq!(site.runs("lost"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_is_refused_as_not_run_while_the_store_is_down() {
+    let site = Site::spawn(Duration::ZERO).await;
+    site.store.set_faults(Faults { outage: true, ..Faults::default() });
+    let refused = site.book(0, "down", "{}").await;
+    assert_eq!(refused.status, 503);
+    assert_eq!((refused.name(), refused.outcome()), ("store_unavailable".into(), "not_run".into()));
+    assert!(refused.body.contains("retry_after_ms"));
+    assert_eq!(site.runs("down"), 0);
+    site.store.set_faults(Faults::default());
+    assert_eq!(site.book(1, "down", "{}").await.status, 201);
+    assert_eq!(site.runs("down"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_whose_outcome_could_not_be_written_is_not_run_again() {
+    let site = Site::spawn(Duration::from_millis(300)).await;
+    let outage = async {
+        while site.runs("late") == 0 {
+            tokio::time::sleep(POLL).await;
+        }
+        site.store.set_faults(Faults { outage: true, ..Faults::default() });
+    };
+    let (first, ()) = tokio::join!(site.book(0, "late", "{}"), outage);
+    assert_eq!(first.status, 201);
+    site.store.set_faults(Faults::default());
+    assert_eq!(site.book(1, "late", "{}").await, first);
+    assert_eq!(site.runs("late"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_body_is_refused() {
+    let site = Site::spawn(Duration::ZERO).await;
+    assert_eq!(site.book(0, "reused", "{}").await.status, 201);
+    let refused = site.book(1, "reused", "{\"other\":1}").await;
+    assert_eq!((refused.status, refused.name()), (409, "idempotency_key_reused".into()));
+    assert_eq!(site.runs("reused"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_agent_is_not_taken_for_one_that_never_saw_the_booking() {
+    let mut site = Site::spawn(Duration::from_secs(30)).await;
+    let deadline = Request::new("POST", "/services/desk/bookings")
+        .header("authorization", &format!("Bearer {KEY}"))
+        .header("idempotency-key", "restart")
+        .header("x-deadline-ms", "400")
+        .body("{}");
+    let first = site.send(site.entries[0].callers_address(), deadline).await;
+    assert_eq!((first.name(), first.outcome()), ("deadline_passed".into(), "unknown".into()));
+    // Another process stands beside the service, and a new entry knows of no other.
+    let agent = spawn_agent(site.service_address).await;
+    site.patch(1, &json!({ "upstreams": { "desk": { "agent": agent.address() } } })).await;
+    site.entries.push(spawn_entry(site.platform.clone()).await);
+    site.wait_until_ready(2).await;
+    let second = site.book(2, "restart", "{}").await;
+    assert_eq!((second.name(), second.outcome()), ("upstream_lost".into(), "unknown".into()));
+    assert_eq!(site.runs("restart"), 1);
+}
--- a/components/wire/src/convert.rs
+++ b/components/wire/src/convert.rs
@@ -4,9 +4,13 @@
 use std::time::Duration;
 
 use errors::{Outcome, Refusal, ResultCode};
-use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+use identity::{
+    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
+};
 
-use crate::event::{AnswerEvent, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work};
+use crate::event::{
+    AnswerEvent, Claim, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work,
+};
 use crate::v1;
 
 /// A message that makes no sense.
@@ -47,6 +51,21 @@
     }
 }
 
+impl From<&Claim> for v1::Claim {
+    fn from(claim: &Claim) -> Self {
+        v1::Claim {
+            revision: claim.revision,
+            agent_process: claim.agent_process.as_str().to_owned(),
+        }
+    }
+}
+
+impl From<v1::Claim> for Claim {
+    fn from(claim: v1::Claim) -> Self {
+        Claim { revision: claim.revision, agent_process: ProcessId::new(claim.agent_process) }
+    }
+}
+
 impl From<&Dispatch> for v1::DispatchRequest {
     fn from(dispatch: &Dispatch) -> Self {
         v1::DispatchRequest {
@@ -56,6 +75,7 @@
             time_left_ms: dispatch.time_left.as_millis() as u64,
             configuration_version: dispatch.config_version.0,
             work: Some((&dispatch.work).into()),
+            claim: None,
         }
     }
 }
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use errors::Refusal;
-use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+use identity::{
+    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
+};
 
 /// A request is known by its customer and its id together.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -32,6 +34,15 @@
     pub work: Work,
 }
 
+/// The claim in the platform's store that allows one dispatch of a non-idempotent call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// Store revision of the write that made the claim.
+    pub revision: u64,
+    /// The agent process that the claim names; any other refuses the dispatch.
+    pub agent_process: ProcessId,
+}
+
 /// What is to be done for a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Work {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod v1;
 
 pub use convert::WireError;
-pub use event::{AnswerEvent, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work};
+pub use event::{
+    AnswerEvent, Claim, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work,
+};
