Send the agent's events without waiting for acknowledgements

Cause: a look-up through entry and agent took 44 ms at the median, close to the 40 ms of a delayed acknowledgement. tonic's `tcp_nodelay` holds only for a listener that its server binds; the agent hands over its own.

Ruled out: the HTTP server and client, whose library sets the option on every connection.

Change: the agent wraps its listener in `TcpIncoming` with the option.

Conclusion: every answer, and every token, was held up by it.

--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 use web::Client;
 use wire::{Dispatch, RequestKey};
 
@@ -89,7 +89,8 @@
             running: Mutex::default(),
         });
         let (stop, stopped) = watch::channel(false);
-        let incoming = TcpListenerStream::new(listener);
+        // The server's own setting holds only for listeners that it binds itself.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let server = tokio::spawn(server::serve(shared.clone(), incoming, stopped));
         let ticker = tokio::spawn(tick(shared.clone()));
         info!("agent upstream={} listen={address}", shared.settings.upstream);
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -5,7 +5,8 @@
 
 use log::warn;
 use tokio::sync::{mpsc, watch};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
 use wire::{AnswerEvent, Claim, Dispatch, RequestKey, v1};
@@ -28,12 +29,11 @@
 
 pub(super) async fn serve(
     shared: Arc<Shared>,
-    incoming: TcpListenerStream,
+    incoming: TcpIncoming,
     mut stopped: watch::Receiver<bool>,
 ) {
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(service)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
