--- a/components/agent/src/controllers/orders.rs
+++ b/components/agent/src/controllers/orders.rs
@@ -52,11 +52,6 @@
         Verdict::Pass
     }
 
-    /// Checks once more right before the send; `false` where a newer token came in between.
-    pub fn may_send(&self, token: FencingToken) -> bool {
-        self.in_hand == Some(token) && self.highest == token
-    }
-
     /// Notes that the order in hand has ended or was not sent.
     pub fn on_end(&mut self, token: FencingToken) {
         if self.in_hand == Some(token) {
