--- a/components/entry/src/controllers/claims/mod.rs
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -6,6 +6,7 @@
 
 mod claiming;
 mod settle;
+mod sweep;
 
 use std::time::SystemTime;
 
@@ -18,6 +19,7 @@
 
 pub use claiming::{AgentWord, Claiming, Event, Next, Start};
 pub use settle::{Settlement, Unsettled, list_unsettled, read_claim, settle_claim};
+pub use sweep::{KEEP_RAN, is_expired, sweep_shard};
 
 /// Largest answer that is kept in a claim.
 pub const ANSWER_LIMIT_BYTES: usize = 16 * 1024;
@@ -171,6 +173,11 @@
     format!("{PREFIX}{}/{name}", &name[..SHARD_DIGITS])
 }
 
+/// Start of the store keys of the claims of one shard.
+fn shard_prefix(shard: u8) -> String {
+    format!("{PREFIX}{shard:02x}/")
+}
+
 /// SHA-256 of everything that makes two calls the same.
 pub fn call_digest(call: &ServiceCall) -> String {
     let mut hash = Sha256::new();
--- a/components/entry/src/controllers/claims/settle.rs
+++ b/components/entry/src/controllers/claims/settle.rs
@@ -7,14 +7,11 @@
 use platform::{KeyValueStore, Revision, StoreError, SwapResult};
 use serde::{Deserialize, Serialize};
 
-use super::{Claim, PREFIX, SettledBy, State, Writer, milliseconds, store_key};
+use super::{Claim, SettledBy, State, Writer, milliseconds, shard_prefix, store_key};
 
 /// How long a claim stands open before it is listed.
 const LISTED_AFTER: Duration = Duration::from_secs(60);
 
-/// How many shards hold the claims.
-const SHARD_COUNT: u32 = 256;
-
 /// An open claim, as an operator sees it.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Unsettled {
@@ -51,8 +48,8 @@
 ) -> Result<Vec<Unsettled>, StoreError> {
     let now_ms = milliseconds(wall);
     let mut rows = Vec::new();
-    for shard in 0..SHARD_COUNT {
-        for found in store.list(&format!("{PREFIX}{shard:02x}/")).await? {
+    for shard in 0..=u8::MAX {
+        for found in store.list(&shard_prefix(shard)).await? {
             let claim = Claim::from_text(&found.value)?;
             let age_ms = now_ms.saturating_sub(claim.claimed_at_ms);
             if claim.state == State::Claimed && u128::from(age_ms) >= LISTED_AFTER.as_millis() {
--- a/components/entry/src/shell/claims.rs
+++ b/components/entry/src/shell/claims.rs
@@ -17,7 +17,7 @@
 use super::Shared;
 use crate::controllers::claims::{
     ANSWER_LIMIT_BYTES, AgentWord, Claim, Claiming, Event, KeptAnswer, Next, Start, State, Writer,
-    call_digest, milliseconds, read_claim, store_key,
+    call_digest, milliseconds, read_claim, store_key, sweep_shard,
 };
 
 /// How long an agent may take to answer a question.
@@ -32,6 +32,9 @@
 /// Pause between two such tries.
 const NOTE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause between two sweeps of a shard.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Agent processes last seen beside upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct AgentProcesses(Mutex<HashMap<UpstreamId, ProcessId>>);
@@ -308,6 +311,19 @@
     }
 }
 
+/// Sweeps a shard drawn anew each time, so that several entries together see them all.
+pub(super) async fn sweep(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        let shard = rand::random();
+        match sweep_shard(&*shared.store, shard, shared.clock.wall()).await {
+            Ok(0) => {}
+            Ok(removed) => info!("claims shard={shard} removed={removed}"),
+            Err(error) => warn!("claims shard={shard} not swept: {error}"),
+        }
+    }
+}
+
 fn is_overdue(shared: &Shared, began_at: Instant) -> bool {
     let draining = shared.draining.load(Ordering::SeqCst);
     let patience = if draining { NOTE_PATIENCE_DRAINING } else { NOTE_PATIENCE };
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -46,6 +46,7 @@
     callers: ServerHandle,
     operators: ServerHandle,
     refresher: JoinHandle<()>,
+    sweeper: JoinHandle<()>,
 }
 
 pub(crate) struct Shared {
@@ -100,8 +101,9 @@
         .bind(Arc::new(operators::Operators::new(shared.clone(), runtime)))
         .context("operators_listen")?;
         let refresher = tokio::spawn(refresh::run(shared.clone()));
+        let sweeper = tokio::spawn(claims::sweep(shared.clone()));
         info!("entry listen={} operators={}", callers.address(), operators.address());
-        Ok(EntryHandle { shared, callers, operators, refresher })
+        Ok(EntryHandle { shared, callers, operators, refresher, sweeper })
     }
 }
 
@@ -124,6 +126,7 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         self.refresher.abort();
+        self.sweeper.abort();
         let (callers, operators) = (self.callers, self.operators);
         let stopped = tokio::task::spawn_blocking(move || {
             callers.stop(true);
--- a/components/entry/tests/booking.rs
+++ b/components/entry/tests/booking.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use agent::{Agent, AgentHandle, UpstreamSettings};
 use clock::{Clock, SystemClock};
+use entry::controllers::claims::list_unsettled;
 use entry::{Entry, EntryHandle, PlatformSettings};
 use identity::{HostId, UpstreamId, ZoneId};
+use platform::HttpStore;
 use serde_json::{Value, json};
 use standin::hosts::Hosts;
 use standin::service::Service;
@@ -243,5 +245,28 @@
     site.wait_until_ready(2).await;
     let second = site.book(2, "restart", "{}").await;
     assert_eq!((second.name(), second.outcome()), ("upstream_lost".into(), "unknown".into()));
+    settle_as_operator(&site).await;
+    let third = site.book(1, "restart", "{}").await;
+    assert_eq!((third.name(), third.outcome()), ("already_ran".into(), "ran".into()));
     assert_eq!(site.runs("restart"), 1);
 }
+
+/// Lists the open claim as it looks a minute later, and settles it as `ran`.
+async fn settle_as_operator(site: &Site) {
+    let PlatformSettings::Http { store, .. } = site.platform;
+    let store = HttpStore::new(site.client.clone(), store);
+    let minute_later = SystemTime::now() + Duration::from_secs(61);
+    let rows = list_unsettled(&store, minute_later).await.expect("list");
+    assert_eq!(rows.len(), 1);
+    let settlement = |revision: u64| {
+        json!({ "customer": "seller", "idempotency_key": "restart", "revision": revision,
+            "outcome": "ran", "author": "ilze", "reason": "stands in the desk's book" })
+    };
+    let revision = rows[0].revision.0;
+    let stale = site.operate("POST", "/claims/settlements", &settlement(revision - 1)).await;
+    assert_eq!((stale.status, stale.name()), (409, "version_conflict".into()));
+    let settled = site.operate("POST", "/claims/settlements", &settlement(revision)).await;
+    assert_eq!(settled.status, 200, "{}", settled.body);
+    assert!(settled.body.contains("\"author\":\"ilze\""));
+    assert_eq!(list_unsettled(&store, minute_later).await.expect("list"), []);
+}
--- a/components/entry/tests/claims.rs
+++ b/components/entry/tests/claims.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use clock::{Clock, ManualClock};
 use entry::controllers::claims::{
-    AgentWord, Claim, Claiming, Event, Next, Start, State, Writer, call_digest,
+    AgentWord, Claim, Claiming, Event, KEEP_RAN, Next, Start, State, Writer, call_digest,
+    is_expired,
 };
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{ConfigVersion, CustomerId, ProcessId, ServiceId, Tier, UpstreamId};
@@ -541,6 +542,19 @@
     });
 }
 
+#[test]
+fn an_open_claim_is_never_swept_and_a_settled_one_is_in_time() {
+    let mut world = World::new(0, Without::Nothing);
+    let Next::Write { claim, .. } = world.begin().next else { panic!("no write") };
+    let writer = claim.writer.clone();
+    let after = |keep: Duration| keep.as_millis() as u64 + 1;
+    assert!(!is_expired(&claim, u64::MAX));
+    let ran = claim.moved_to(State::Ran { answer: None }, writer.clone());
+    assert!(!is_expired(&ran, after(KEEP_RAN) - 1));
+    assert!(is_expired(&ran, after(KEEP_RAN)));
+    assert!(is_expired(&claim.moved_to(State::NotRun, writer), after(KEEP_RAN)));
+}
+
 #[test]
 fn the_interleavings_find_a_second_run_where_a_mechanism_is_left_out() {
     for without in [Without::Claim, Without::ProcessCheck, Without::Tombstone, Without::ReadBack] {
