--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+mod claims;
 mod metrics;
 mod operators;
 mod refresh;
@@ -15,7 +16,7 @@
 use anyhow::{Context, Result};
 use clock::Clock;
 use configuration::InForce;
-use identity::UpstreamId;
+use identity::{ProcessId, UpstreamId};
 use log::info;
 use platform::{HostList, HttpHostList, HttpStore, KeyValueStore};
 use tokio::task::JoinHandle;
@@ -45,16 +46,19 @@
     callers: ServerHandle,
     operators: ServerHandle,
     refresher: JoinHandle<()>,
+    sweeper: JoinHandle<()>,
 }
 
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    pub(crate) process: ProcessId,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) store: Arc<dyn KeyValueStore>,
     pub(crate) host_list: Arc<dyn HostList>,
     pub(crate) in_force: InForce,
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
+    pub(crate) agent_processes: claims::AgentProcesses,
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -73,6 +77,8 @@
             in_force: InForce::new(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
+            agent_processes: claims::AgentProcesses::default(),
+            process: ProcessId::random(),
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -95,8 +101,9 @@
         .bind(Arc::new(operators::Operators::new(shared.clone(), runtime)))
         .context("operators_listen")?;
         let refresher = tokio::spawn(refresh::run(shared.clone()));
+        let sweeper = tokio::spawn(claims::sweep(shared.clone()));
         info!("entry listen={} operators={}", callers.address(), operators.address());
-        Ok(EntryHandle { shared, callers, operators, refresher })
+        Ok(EntryHandle { shared, callers, operators, refresher, sweeper })
     }
 }
 
@@ -119,6 +126,7 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         self.refresher.abort();
+        self.sweeper.abort();
         let (callers, operators) = (self.callers, self.operators);
         let stopped = tokio::task::spawn_blocking(move || {
             callers.stop(true);
