Lay the configuration out as an index and parts, and spread it between processes

Cause: one value `configuration/current` held everything. 15,000 customers do not fit in a value of a megabyte, each change of one customer would be fetched whole by every node, and only processes that poll the store could learn of it.

Change: an index changed by compare-and-swap refers to objects that are written before it and never change: 1 fleet part, 16 upstream shards, 64 customer shards, manifest, log of 600 patches and 16 deltas. Objects belong to one attempt at one version, so that collecting them needs no lock against writers. A node behind by up to 16 versions fetches deltas, further behind only the parts that differ. `configuration::sync` decides whom to ask (listed processes read the store, relays ask them, others ask relays), every question carries the asker's version, and the acceptor asks the listed processes at once. The log finds a patch id again; an audit ring of 64 pages of 100 records keeps refused patches too.

Ruled out: content-addressed keys shared between versions (a revert could bring an object back while it is being deleted); one delta key a version (a loser's delta would stand beside the winner's).

--- a/components/agent/src/settings.rs
+++ b/components/agent/src/settings.rs
@@ -5,7 +5,7 @@
 use identity::{HostId, UpstreamId, ZoneId};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use settings::{Checked, check_range};
+use settings::{Checked, check_log_level, check_range};
 
 /// Settings of an agent process.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
@@ -23,6 +23,9 @@
     pub adapter: UpstreamSettings,
     /// Most requests handed to the upstream at once.
     pub slots: u32,
+    /// Processes that read the store for the others of the zone, the same list in each.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// Log level: off, error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -51,6 +54,7 @@
     fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         check_range(&mut faults, "slots", self.slots.into(), 1..=SLOTS_LIMIT);
+        check_log_level(&mut faults, &self.log_level);
         faults
     }
 }
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -9,8 +9,10 @@
 
 use anyhow::{Context, Result};
 use clock::Clock;
+use configuration::InForce;
 use identity::ProcessId;
 use log::{debug, info};
+use peers::{Peers, PeersHandle};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -57,6 +59,8 @@
     clock: Arc<dyn Clock>,
     core: Mutex<Core>,
     upstream: Arc<dyn Upstream>,
+    in_force: Arc<InForce>,
+    peers: PeersHandle,
     wakers: Mutex<HashMap<RequestKey, watch::Sender<u64>>>,
     running: Mutex<HashMap<RequestKey, JoinHandle<()>>>,
 }
@@ -75,12 +79,24 @@
             .await
             .with_context(|| format!("{}: cannot be bound", self.settings.listen))?;
         let address = listener.local_addr()?;
+        let in_force = Arc::new(InForce::new());
+        let peers = Peers {
+            own: Some(address),
+            listed: self.settings.peers.clone(),
+            zone: self.settings.zone.clone(),
+            store: None,
+            in_force: in_force.clone(),
+            clock: self.clock.clone(),
+        }
+        .spawn();
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
             settings: self.settings,
             process: ProcessId::random(),
             clock: self.clock,
             upstream,
+            in_force,
+            peers,
             wakers: Mutex::default(),
             running: Mutex::default(),
         });
@@ -109,6 +125,7 @@
         let _ = self.stop.send(true);
         let _ = self.server.await;
         self.ticker.abort();
+        self.shared.peers.stop();
     }
 }
 
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -30,10 +30,12 @@
     incoming: TcpListenerStream,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let peer_service = shared.peers.service();
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
         .tcp_nodelay(true)
         .add_service(service)
+        .add_service(peer_service)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
         })
@@ -53,6 +55,7 @@
         request: Request<v1::DispatchRequest>,
     ) -> Result<Response<EventStream>, Status> {
         let dispatch: Dispatch = request.into_inner().try_into().map_err(invalid)?;
+        self.shared.peers.hear(dispatch.config_version, None);
         let key = dispatch.key.clone();
         let (admission, actions) = self.shared.core().dispatch(dispatch, self.shared.clock.now());
         self.shared.perform(actions);
@@ -105,7 +108,7 @@
         Ok(Response::new(v1::ReportReply {
             upstream: self.shared.settings.upstream.as_str().to_owned(),
             process: self.shared.process.as_str().to_owned(),
-            configuration_version: 0,
+            configuration_version: self.shared.in_force.version().0,
             load: Some(self.shared.core().load().into()),
         }))
     }
--- a/components/configuration/src/document.rs
+++ b/components/configuration/src/document.rs
@@ -83,6 +83,9 @@
     pub agent: SocketAddr,
     /// What it does.
     pub kind: UpstreamKind,
+    /// It is given no new work, by an operator's order.
+    #[serde(default)]
+    pub draining: bool,
 }
 
 /// What a back end does.
--- a/components/configuration/src/in_force.rs
+++ b/components/configuration/src/in_force.rs
@@ -8,7 +8,9 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
-use crate::Document;
+use crate::layout::{DELTAS_KEPT, Delta, Parts};
+use crate::patch::apply_unchecked;
+use crate::{Document, PatchError};
 
 /// A numbered document with what is derived from it.
 #[derive(Debug)]
@@ -17,6 +19,8 @@
     pub version: ConfigVersion,
     /// The document.
     pub document: Document,
+    /// The newest deltas that led here, for peers that are a little behind; the newest last.
+    pub deltas: Vec<Arc<Delta>>,
     keys: HashMap<[u8; 32], CustomerId>,
 }
 
@@ -47,7 +51,46 @@
                 }
             }
         }
-        Snapshot { version, document, keys }
+        Snapshot { version, document, deltas: Vec::new(), keys }
+    }
+
+    /// The snapshot that deltas lead to from this one; each must follow on the one before.
+    ///
+    /// An error says that the deltas do not lead to the document that they were made for.
+    pub fn advance(&self, deltas: Vec<Arc<Delta>>) -> Result<Snapshot, PatchError> {
+        let mut version = self.version;
+        let mut value = serde_json::to_value(&self.document)?;
+        for delta in &deltas {
+            version = ConfigVersion(version.0 + 1);
+            let patch = delta.patch.as_ref().ok_or(PatchError::NotKept)?;
+            if delta.version != version {
+                return Err(PatchError::Gap { expected: version, found: delta.version });
+            }
+            value = apply_unchecked(value, patch)?;
+        }
+        let document: Document = serde_json::from_value(value)?;
+        let expected = deltas.last().map(|delta| delta.document_sha256.as_str());
+        if Parts::split(&document)?.digest() != expected.unwrap_or_default() {
+            return Err(PatchError::Differs);
+        }
+        let mut held = self.deltas.clone();
+        held.extend(deltas);
+        Ok(Snapshot::new(version, document).with_deltas(held))
+    }
+
+    /// Adds the deltas that led here, of which the newest are kept.
+    pub fn with_deltas(mut self, mut deltas: Vec<Arc<Delta>>) -> Snapshot {
+        let surplus = deltas.len().saturating_sub(DELTAS_KEPT);
+        self.deltas = deltas.split_off(surplus);
+        self
+    }
+
+    /// Deltas that lead a peer here from the version it holds, if they reach back so far.
+    pub fn deltas_after(&self, held: ConfigVersion) -> Option<&[Arc<Delta>]> {
+        let missing = usize::try_from(self.version.0.checked_sub(held.0)?).ok()?;
+        let start = self.deltas.len().checked_sub(missing)?;
+        let deltas = self.deltas.get(start..)?;
+        deltas.iter().all(|delta| delta.patch.is_some()).then_some(deltas)
     }
 
     /// The customer that a bearer key belongs to.
--- a/components/configuration/src/lib.rs
+++ b/components/configuration/src/lib.rs
@@ -1,9 +1,13 @@
-//! The numbered configuration: its form, its checks, its patches and the snapshot in force.
+//! The numbered configuration: its form, its checks, its patches, how it lies in the platform's
+//! store, how it spreads, and the snapshot in force.
 
 mod check;
 mod document;
 mod in_force;
+pub mod layout;
 mod patch;
+pub mod repository;
+pub mod sync;
 
 pub use check::find_faults;
 pub use document::{
@@ -11,4 +15,4 @@
     UpstreamKind,
 };
 pub use in_force::{InForce, Offer, Snapshot};
-pub use patch::apply_patch;
+pub use patch::{PatchError, apply_patch};
--- /dev/null
+++ b/components/configuration/src/sync/mod.rs
@@ -0,0 +1,239 @@
+//! How a process learns of a newer configuration: whom to ask next.
+//!
+//! A few listed processes read the store. Relays, chosen by rendezvous hashing among the agents of
+//! a zone, ask the listed ones, and all others ask the relays. Each question carries the version
+//! that the asker holds, so that the one asked learns of a newer one too.
+
+mod ring;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use identity::ConfigVersion;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub use ring::{choose_relays, rank};
+
+/// How often each process asks.
+pub const ASK_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// How long a source may be silent; after that the caller of `Sync` reports a failure.
+pub const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long before another source is asked after one failed.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Failures in a row after which the pace falls back to the usual one.
+const QUICK_RETRIES: u32 = 6;
+
+/// Newer versions heard of that wait to be fetched.
+const HINT_LIMIT: usize = 8;
+
+/// Jitter of an interval, in percent of it.
+const JITTER_PERCENT: std::ops::RangeInclusive<u32> = 75..=110;
+
+/// Where a configuration can be had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Source {
+    /// The platform's key-value service.
+    Store,
+    /// A process of the system.
+    Peer(SocketAddr),
+}
+
+/// What happened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// Somebody named a version; `holder` can be asked for it.
+    Heard {
+        /// The version.
+        version: ConfigVersion,
+        /// Who holds it, if that is known.
+        holder: Option<SocketAddr>,
+    },
+    /// This process made or fetched a version that is durable.
+    Accepted(ConfigVersion),
+    /// A source answered, and this version is held now.
+    Answered(Source, ConfigVersion),
+    /// A source did not answer. Each question ends with this or with `Answered`.
+    Failed(Source),
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing until something happens.
+    Wait,
+    /// Ask each of these for what is newer than the version held.
+    Ask(Vec<Source>),
+}
+
+/// Who a process is among the others.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Where others reach this process.
+    pub own: Option<SocketAddr>,
+    /// Processes that read the store for the others, the same list everywhere in a zone.
+    pub listed: Vec<SocketAddr>,
+    /// This process can reach the store.
+    pub has_store: bool,
+}
+
+/// Decides whom to ask.
+#[derive(Debug)]
+pub struct Sync {
+    place: Place,
+    relays: Vec<SocketAddr>,
+    held: ConfigVersion,
+    asking: Option<Source>,
+    ask_at: Instant,
+    failures: u32,
+    hints: VecDeque<(ConfigVersion, SocketAddr)>,
+    random: ChaCha8Rng,
+}
+
+impl Sync {
+    /// A process that holds nothing yet.
+    pub fn new(place: Place, seed: u64, now: Instant) -> Sync {
+        Sync {
+            place,
+            relays: Vec::new(),
+            held: ConfigVersion(0),
+            asking: None,
+            ask_at: now,
+            failures: 0,
+            hints: VecDeque::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The version held.
+    pub fn held(&self) -> ConfigVersion {
+        self.held
+    }
+
+    /// Replaces the relays when the agents in force have changed.
+    pub fn set_relays(&mut self, relays: Vec<SocketAddr>) {
+        self.relays = relays;
+    }
+
+    /// Takes in what happened and says whom to ask.
+    pub fn on_event(&mut self, event: Event, now: Instant) -> Next {
+        match event {
+            Event::Tick => {}
+            Event::Heard { version, holder } => self.hear(version, holder, now),
+            Event::Accepted(version) => return self.announce(version),
+            Event::Answered(source, version) => self.take_answer(source, version, now),
+            Event::Failed(source) => self.take_failure(source, now),
+        }
+        self.ask_if_due(now)
+    }
+
+    fn hear(&mut self, version: ConfigVersion, holder: Option<SocketAddr>, now: Instant) {
+        if version <= self.held {
+            return;
+        }
+        match holder {
+            Some(holder) if !self.hints.contains(&(version, holder)) => {
+                self.hints.push_back((version, holder));
+                if self.hints.len() > HINT_LIMIT {
+                    self.hints.pop_front();
+                }
+            }
+            _ => {}
+        }
+        self.ask_at = self.ask_at.min(now + RETRY_INTERVAL);
+    }
+
+    /// Tells the listed processes at once, by asking them with the new version.
+    fn announce(&mut self, version: ConfigVersion) -> Next {
+        self.held = self.held.max(version);
+        let others = self.others(&self.place.listed);
+        if others.is_empty() {
+            return Next::Wait;
+        }
+        Next::Ask(others.into_iter().map(Source::Peer).collect())
+    }
+
+    fn take_answer(&mut self, source: Source, version: ConfigVersion, now: Instant) {
+        self.held = self.held.max(version);
+        if self.is_asking(source) {
+            self.asking = None;
+            self.failures = 0;
+            self.ask_at = now + self.jittered(ASK_INTERVAL);
+        }
+    }
+
+    fn take_failure(&mut self, source: Source, now: Instant) {
+        if !self.is_asking(source) {
+            return;
+        }
+        self.asking = None;
+        self.failures += 1;
+        let quick = self.failures % QUICK_RETRIES != 0;
+        let pause = if quick { RETRY_INTERVAL } else { ASK_INTERVAL };
+        self.ask_at = now + self.jittered(pause);
+    }
+
+    fn ask_if_due(&mut self, now: Instant) -> Next {
+        if self.asking.is_some() || now < self.ask_at {
+            return Next::Wait;
+        }
+        let Some(source) = self.choose() else { return Next::Wait };
+        self.asking = Some(source);
+        Next::Ask(vec![source])
+    }
+
+    /// Whoever is known to hold a newer version, else the usual sources in turn.
+    fn choose(&mut self) -> Option<Source> {
+        while let Some((version, holder)) = self.hints.pop_back() {
+            if version > self.held && Some(holder) != self.place.own {
+                return Some(Source::Peer(holder));
+            }
+        }
+        let sources = self.sources();
+        let turn = usize::try_from(self.failures).unwrap_or_default();
+        sources.get(turn % sources.len().max(1)).copied()
+    }
+
+    /// Sources in the order in which they are tried.
+    fn sources(&mut self) -> Vec<Source> {
+        let own = self.place.own;
+        let is_listed = own.is_some_and(|own| self.place.listed.contains(&own));
+        let is_relay = own.is_some_and(|own| self.relays.contains(&own));
+        let mut listed = self.others(&self.place.listed);
+        let mut relays = self.others(&self.relays);
+        order_for(&mut self.random, &mut listed);
+        order_for(&mut self.random, &mut relays);
+        let store = self.place.has_store.then_some(Source::Store);
+        let peer = |addresses: Vec<SocketAddr>| addresses.into_iter().map(Source::Peer);
+        if is_listed || self.place.listed.is_empty() {
+            store.into_iter().chain(peer(listed)).chain(peer(relays)).collect()
+        } else if is_relay || relays.is_empty() {
+            peer(listed).chain(store).chain(peer(relays)).collect()
+        } else {
+            peer(relays).take(2).chain(peer(listed).take(2)).chain(store).collect()
+        }
+    }
+
+    fn others(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        addresses.iter().copied().filter(|address| Some(*address) != self.place.own).collect()
+    }
+
+    fn is_asking(&self, source: Source) -> bool {
+        self.asking == Some(source)
+    }
+
+    fn jittered(&mut self, interval: Duration) -> Duration {
+        interval * self.random.random_range(JITTER_PERCENT) / 100
+    }
+}
+
+fn order_for(random: &mut ChaCha8Rng, addresses: &mut [SocketAddr]) {
+    use rand::seq::SliceRandom;
+    addresses.shuffle(random);
+}
--- a/components/entry/src/filters/place.rs
+++ b/components/entry/src/filters/place.rs
@@ -61,7 +61,7 @@
         .upstreams
         .iter()
         .filter(|(name, _)| !excluded.contains(name))
-        .filter(|(name, _)| is_open(view, name))
+        .filter(|(name, upstream)| !upstream.draining && is_open(view, name))
         .filter_map(|(name, upstream)| candidate(view, document, name, upstream, work))
         .collect()
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,5 +8,5 @@
 mod settings;
 mod shell;
 
-pub use settings::{PlatformSettings, Settings};
+pub use settings::{PeerSettings, PlatformSettings, Settings};
 pub use shell::{Entry, EntryHandle};
--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -5,7 +5,7 @@
 use identity::{HostId, ZoneId};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use settings::{Checked, check_range};
+use settings::{Checked, check_log_level, check_range};
 
 /// Settings of an entry process.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
@@ -21,6 +21,9 @@
     pub zone: ZoneId,
     /// How to reach the platform.
     pub platform: PlatformSettings,
+    /// How the configuration comes from other processes.
+    #[serde(default)]
+    pub peers: PeerSettings,
     /// Threads that serve callers.
     #[serde(default = "default_workers")]
     pub workers: u32,
@@ -29,6 +32,19 @@
     pub log_level: String,
 }
 
+/// How the configuration comes from other processes.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Where other processes of the system reach this one; absent, it serves none.
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+    /// Processes that read the store for the others of the zone, the same list in each. A process
+    /// that is in the list, or has none, reads the store itself.
+    #[serde(default)]
+    pub listed: Vec<SocketAddr>,
+}
+
 /// How to reach the platform.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -49,6 +65,7 @@
     fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         check_range(&mut faults, "workers", self.workers.into(), 1..=WORKERS_LIMIT);
+        check_log_level(&mut faults, &self.log_level);
         faults
     }
 }
--- a/components/entry/src/shell/callers.rs
+++ b/components/entry/src/shell/callers.rs
@@ -272,7 +272,9 @@
             job: Some(self.job.clone()),
             ..Exchange::new(&self.request, &view, self.shared.clock.now())
         };
-        self.shared.chain.place_again(&mut exchange).map_err(|(_, refusal)| refusal)?;
+        let placed = self.shared.chain.place_again(&mut exchange);
+        self.shared.decisions.record(Some(&self.key), &exchange, self.shared.clock.wall());
+        placed.map_err(|(_, refusal)| refusal)?;
         exchange.upstream.ok_or_else(|| Refusal::not_run(ResultCode::Internal))
     }
 
@@ -349,7 +351,9 @@
 fn place(shared: &Shared, request: &Request, arrived: Instant) -> Result<Placed, Refusal> {
     let view = read_view(shared)?;
     let mut exchange = Exchange::new(request, &view, arrived);
-    shared.chain.run(&mut exchange).map_err(|(_, refusal)| refusal)?;
+    let passed = shared.chain.run(&mut exchange);
+    shared.decisions.record(exchange.key.as_ref(), &exchange, shared.clock.wall());
+    passed.map_err(|(_, refusal)| refusal)?;
     match (exchange.key, exchange.job, exchange.upstream) {
         (Some(key), Some(job), Some(upstream)) => Ok((key, job, upstream)),
         _ => Err(Refusal::not_run(ResultCode::Internal)),
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -2,8 +2,10 @@
 
 mod agents;
 mod callers;
+mod decisions;
 mod metrics;
 mod operators;
+mod peer_listener;
 mod refresh;
 
 use std::collections::BTreeMap;
@@ -17,13 +19,16 @@
 use configuration::InForce;
 use identity::UpstreamId;
 use log::info;
+use peers::{Peers, PeersHandle};
 use platform::{HostList, HttpHostList, HttpStore, KeyValueStore};
 use tokio::task::JoinHandle;
 use web::{Client, Server, ServerHandle};
 
+use crate::controllers::configuration::PendingAudit;
 use crate::filters::{Chain, Heard, View};
 use crate::{PlatformSettings, Settings};
 use metrics::Metrics;
+use peer_listener::PeerListener;
 
 /// Largest body that is read before the configuration's own limit is applied.
 const BODY_READ_LIMIT_BYTES: usize = 8 << 20;
@@ -45,6 +50,7 @@
     callers: ServerHandle,
     operators: ServerHandle,
     refresher: JoinHandle<()>,
+    peer_listener: Option<PeerListener>,
 }
 
 pub(crate) struct Shared {
@@ -52,7 +58,10 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) store: Arc<dyn KeyValueStore>,
     pub(crate) host_list: Arc<dyn HostList>,
-    pub(crate) in_force: InForce,
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) peers: PeersHandle,
+    pub(crate) pending_audit: PendingAudit,
+    pub(crate) decisions: decisions::Decisions,
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
     pub(crate) metrics: Metrics,
@@ -66,11 +75,27 @@
     pub async fn spawn(self) -> Result<EntryHandle> {
         let client = Client::spawn()?;
         let PlatformSettings::Http { store, host_list } = self.settings.platform;
+        let store: Arc<dyn KeyValueStore> = Arc::new(HttpStore::new(client.clone(), store));
+        let in_force = Arc::new(InForce::new());
+        let bound = peer_listener::bind(self.settings.peers.listen).await?;
+        let peers = Peers {
+            own: bound.as_ref().map(|(address, _)| *address),
+            listed: self.settings.peers.listed.clone(),
+            zone: self.settings.zone.clone(),
+            store: Some(store.clone()),
+            in_force: in_force.clone(),
+            clock: self.clock.clone(),
+        }
+        .spawn();
+        let peer_listener = bound.map(|bound| PeerListener::spawn(bound, peers.service()));
         let shared = Arc::new(Shared {
             clock: self.clock,
-            store: Arc::new(HttpStore::new(client.clone(), store)),
+            store,
             host_list: Arc::new(HttpHostList::new(client, host_list)),
-            in_force: InForce::new(),
+            in_force,
+            peers,
+            pending_audit: PendingAudit::default(),
+            decisions: decisions::Decisions::default(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
             metrics: Metrics::new()?,
@@ -96,7 +121,7 @@
         .context("operators_listen")?;
         let refresher = tokio::spawn(refresh::run(shared.clone()));
         info!("entry listen={} operators={}", callers.address(), operators.address());
-        Ok(EntryHandle { shared, callers, operators, refresher })
+        Ok(EntryHandle { shared, callers, operators, refresher, peer_listener })
     }
 }
 
@@ -111,6 +136,11 @@
         self.operators.address()
     }
 
+    /// The address for other processes of the system, if they are served.
+    pub fn peers_address(&self) -> Option<SocketAddr> {
+        self.peer_listener.as_ref().map(PeerListener::address)
+    }
+
     /// Stops gracefully: takes no new work, finishes what is in flight, then ends.
     pub async fn stop(self) {
         self.shared.draining.store(true, Ordering::SeqCst);
@@ -119,6 +149,10 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         self.refresher.abort();
+        self.shared.peers.stop();
+        if let Some(peer_listener) = self.peer_listener {
+            peer_listener.stop();
+        }
         let (callers, operators) = (self.callers, self.operators);
         let stopped = tokio::task::spawn_blocking(move || {
             callers.stop(true);
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -1,18 +1,31 @@
-//! Operators' HTTP: health, metrics, configuration and upstreams.
+//! Operators' HTTP: health, metrics, configuration, audit, hosts, upstreams and decisions.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
+use configuration::repository::{
+    ReadError, Submission, read_audit, read_index, read_log, read_newer,
+};
+use configuration::{Snapshot, apply_patch};
 use errors::{Refusal, ResultCode};
+use identity::ConfigVersion;
 use log::info;
+use platform::HostState;
 use serde::Serialize;
+use serde_json::json;
 use tokio::runtime;
 use web::{Handler, Request, Response};
 
 use super::Shared;
 use super::callers::refuse;
-use crate::controllers::configuration::{Submission, read_current, submit_patch};
+use crate::controllers::configuration::submit;
+
+/// Records given where the query names no limit.
+const DEFAULT_LIMIT: usize = 20;
+
+/// Most records given.
+const MAX_LIMIT: usize = 10_000;
 
 pub(crate) struct Operators {
     shared: Arc<Shared>,
@@ -22,11 +35,23 @@
 #[derive(Debug, Serialize)]
 struct UpstreamRow {
     upstream: String,
+    host: String,
     zone: String,
+    agent: String,
     queued: u32,
     running: u32,
     own_outstanding: u32,
     leaving: bool,
+    draining: bool,
+    unreachable: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct HostRow {
+    host: String,
+    state: String,
+    zones: Vec<String>,
+    upstreams: Vec<String>,
 }
 
 impl Operators {
@@ -41,21 +66,27 @@
         let shared = self.shared.clone();
         let answered = self.runtime.spawn(async move { route(&shared, request).await });
         match answered.await {
-            Ok(response) => response,
+            Ok(Ok(response)) => response,
+            Ok(Err(refusal)) => refuse(&refusal, ""),
             Err(_) => refuse(&Refusal::not_run(ResultCode::Internal), ""),
         }
     }
 }
 
-async fn route(shared: &Shared, request: Request) -> Response {
+async fn route(shared: &Shared, request: Request) -> Result<Response, Refusal> {
     match (request.method.as_str(), request.path.as_str()) {
-        ("GET", "/healthz") => Response::whole(200, "text/plain", "alive\n"),
-        ("GET", "/readyz") => ready(shared),
-        ("GET", "/metrics") => Response::whole(200, "text/plain", shared.metrics.render()),
+        ("GET", "/healthz") => Ok(Response::whole(200, "text/plain", "alive\n")),
+        ("GET", "/readyz") => Ok(ready(shared)),
+        ("GET", "/metrics") => Ok(Response::whole(200, "text/plain", shared.metrics.render())),
         ("GET", "/configuration") => configuration(shared).await,
         ("POST", "/configuration/patches") => patch(shared, &request).await,
-        ("GET", "/upstreams") => Response::json(200, &upstreams(shared)),
-        _ => refuse(&Refusal::not_run(ResultCode::NotFound), ""),
+        ("POST", "/configuration/checks") => check(shared, &request).await,
+        ("GET", "/configuration/history") => history(shared, &request).await,
+        ("GET", "/audit") => audit(shared, &request).await,
+        ("GET", "/hosts") => hosts(shared).await,
+        ("GET", "/upstreams") => Ok(Response::json(200, &upstreams(shared))),
+        ("GET", path) => explain(shared, path),
+        _ => Err(Refusal::not_run(ResultCode::NotFound)),
     }
 }
 
@@ -69,32 +100,98 @@
     Response::whole(200, "text/plain", "ready\n")
 }
 
-async fn configuration(shared: &Shared) -> Response {
-    match read_current(&*shared.store).await {
-        Ok(Some((_, stored))) => Response::json(200, &stored),
-        Ok(None) => refuse(&Refusal::not_run(ResultCode::ConfigurationMissing), ""),
-        Err(error) => {
-            let refusal = Refusal::not_run(ResultCode::StoreUnavailable);
-            refuse(&refusal.with_message(error.to_string()), "")
-        }
+/// The newest configuration of the store; the one in force where the store does not answer.
+async fn configuration(shared: &Shared) -> Result<Response, Refusal> {
+    let held = shared.in_force.load();
+    let (newer, source) = match read_newer(&*shared.store, held.as_deref()).await {
+        Ok(newer) => (newer, "store"),
+        Err(_) => (None, "in_force"),
+    };
+    let snapshot = newer.map(Arc::new).or(held);
+    let snapshot = snapshot.ok_or_else(|| Refusal::not_run(ResultCode::ConfigurationMissing))?;
+    let version = snapshot.version;
+    let body = json!({ "version": version, "source": source, "document": snapshot.document });
+    Ok(Response::json(200, &body))
+}
+
+async fn patch(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
+    let submission = read_submission(request)?;
+    let held = shared.in_force.load();
+    let wall = shared.clock.wall();
+    let accepted =
+        submit(&*shared.store, held.as_deref(), &submission, wall, &shared.pending_audit).await?;
+    info!("configuration version={} by {}", accepted.version, submission.author);
+    if let Some(snapshot) = accepted.snapshot {
+        shared.in_force.offer(snapshot);
+        shared.peers.announce(accepted.version).await;
     }
+    Ok(Response::json(200, &json!({ "version": accepted.version })))
 }
 
-async fn patch(shared: &Shared, request: &Request) -> Response {
-    let submission: Submission = match serde_json::from_slice(&request.body) {
-        Ok(submission) => submission,
-        Err(error) => {
-            let refusal = Refusal::not_run(ResultCode::MalformedJson);
-            return refuse(&refusal.with_message(error.to_string()), "");
-        }
+/// Says whether a patch would be accepted now; nothing is written.
+async fn check(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
+    let submission = read_submission(request)?;
+    let held = shared.in_force.load();
+    let newer = read_newer(&*shared.store, held.as_deref()).await.map_err(unavailable)?;
+    let newest = newer.map(Arc::new).or(held);
+    let newest =
+        newest.unwrap_or_else(|| Arc::new(Snapshot::new(ConfigVersion(0), Default::default())));
+    apply_patch(&newest.document, &submission.patch)?;
+    Ok(Response::json(200, &json!({ "against_version": newest.version })))
+}
+
+fn read_submission(request: &Request) -> Result<Submission, Refusal> {
+    serde_json::from_slice(&request.body).map_err(|error| {
+        Refusal::not_run(ResultCode::MalformedJson).with_message(error.to_string())
+    })
+}
+
+async fn history(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
+    let Some((_, index)) = read_index(&*shared.store).await.map_err(unavailable)? else {
+        return Err(Refusal::not_run(ResultCode::ConfigurationMissing));
     };
-    match submit_patch(&*shared.store, &submission, shared.clock.wall()).await {
-        Ok(stored) => {
-            info!("configuration version={} by {}", stored.version, stored.author);
-            Response::json(200, &serde_json::json!({ "version": stored.version }))
+    let log = read_log(&*shared.store, &index).await.map_err(unavailable)?;
+    let newest: Vec<_> = log.0.iter().rev().take(limit_of(request)?).collect();
+    Ok(Response::json(200, &newest))
+}
+
+async fn audit(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
+    let limit = limit_of(request)?;
+    let records = read_audit(&*shared.store, limit).await.map_err(unavailable)?;
+    Ok(Response::json(200, &records))
+}
+
+fn limit_of(request: &Request) -> Result<usize, Refusal> {
+    let Some(given) = request.query_value("limit") else { return Ok(DEFAULT_LIMIT) };
+    let limit = given.parse().ok().filter(|limit| (1..=MAX_LIMIT).contains(limit));
+    limit.ok_or_else(|| {
+        let message = format!("limit: given {given}, allowed 1 to {MAX_LIMIT}");
+        Refusal::not_run(ResultCode::FieldOutOfRange).with_message(message)
+    })
+}
+
+async fn hosts(shared: &Shared) -> Result<Response, Refusal> {
+    let listed = shared.host_list.read().await.map_err(|error| {
+        Refusal::not_run(ResultCode::StoreUnavailable).with_message(error.to_string())
+    })?;
+    let snapshot = shared.in_force.load();
+    let row = |(host, state): (&identity::HostId, &HostState)| {
+        let on_host = snapshot.iter().flat_map(|snapshot| snapshot.document.upstreams.iter());
+        let on_host: Vec<_> = on_host.filter(|(_, upstream)| upstream.host == *host).collect();
+        let mut zones: Vec<_> = on_host.iter().map(|(_, found)| found.zone.to_string()).collect();
+        zones.dedup();
+        HostRow {
+            host: host.to_string(),
+            state: match state {
+                HostState::Live => "live".to_owned(),
+                HostState::Leaving => "leaving".to_owned(),
+            },
+            zones,
+            upstreams: on_host.iter().map(|(name, _)| name.to_string()).collect(),
         }
-        Err(refusal) => refuse(&refusal, ""),
-    }
+    };
+    let rows: Vec<HostRow> = listed.iter().map(row).collect();
+    Ok(Response::json(200, &rows))
 }
 
 fn upstreams(shared: &Shared) -> Vec<UpstreamRow> {
@@ -105,12 +202,29 @@
         let load = seen.map(|heard| heard.load).unwrap_or_default();
         UpstreamRow {
             upstream: name.to_string(),
+            host: upstream.host.to_string(),
             zone: upstream.zone.to_string(),
+            agent: upstream.agent.to_string(),
             queued: load.queued,
             running: load.running,
             own_outstanding: seen.map_or(0, |heard| heard.own_outstanding),
             leaving: seen.is_some_and(|heard| heard.leaving) || load.leaving,
+            draining: upstream.draining,
+            unreachable: seen.is_some_and(|heard| heard.unreachable),
         }
     });
     rows.collect()
 }
+
+fn explain(shared: &Shared, path: &str) -> Result<Response, Refusal> {
+    let id = path.strip_prefix("/requests/");
+    let decisions = id.map(|id| shared.decisions.find(id)).unwrap_or_default();
+    if decisions.is_empty() {
+        return Err(Refusal::not_run(ResultCode::NotFound));
+    }
+    Ok(Response::json(200, &decisions))
+}
+
+fn unavailable(error: ReadError) -> Refusal {
+    Refusal::not_run(ResultCode::StoreUnavailable).with_message(error.to_string())
+}
--- a/components/entry/src/shell/refresh.rs
+++ b/components/entry/src/shell/refresh.rs
@@ -1,14 +1,13 @@
-//! Keeps the configuration in force, host list and agents' reports fresh.
+//! Keeps the host list fresh and writes audit records that wait.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use configuration::{Offer, Snapshot};
-use log::{info, warn};
+use log::warn;
 use platform::HostState;
 
 use super::Shared;
-use crate::controllers::configuration::read_current;
+use crate::controllers::configuration::flush_audit;
 
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -16,24 +15,8 @@
     let mut interval = tokio::time::interval(REFRESH_INTERVAL);
     loop {
         interval.tick().await;
-        refresh_configuration(&shared).await;
         refresh_hosts(&shared).await;
-    }
-}
-
-async fn refresh_configuration(shared: &Shared) {
-    match read_current(&*shared.store).await {
-        Ok(Some((_, stored))) => {
-            let version = stored.version;
-            if shared.in_force.version() >= version {
-                return;
-            }
-            if shared.in_force.offer(Snapshot::new(version, stored.document)) == Offer::Taken {
-                info!("configuration version={version} in force");
-            }
-        }
-        Ok(None) => {}
-        Err(error) => warn!("configuration not read: {error}"),
+        flush_audit(&*shared.store, &shared.pending_audit).await;
     }
 }
 
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -55,3 +55,13 @@
         ));
     }
 }
+
+/// Log levels that settings may name.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+/// Adds a fault when a log level is unknown.
+pub fn check_log_level(faults: &mut Vec<String>, given: &str) {
+    if !LOG_LEVELS.contains(&given) {
+        faults.push(format!("log_level: given {given:?}, allowed {}", LOG_LEVELS.join(", ")));
+    }
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -78,6 +78,7 @@
         host: HostId::new("entry-1"),
         zone: ZoneId::new(ZONE),
         platform: PlatformSettings::Http { store: store.address(), host_list: hosts.address() },
+        peers: entry::PeerSettings::default(),
         workers: 2,
         log_level: "warn".to_owned(),
     };
@@ -115,6 +116,7 @@
         upstream: UpstreamId::new(name),
         adapter,
         slots: 8,
+        peers: Vec::new(),
         log_level: "warn".to_owned(),
     };
     Agent { settings, clock: Arc::new(SystemClock) }.spawn().await
