Replay traces against the placement policies

Cause: nothing showed whether the scheduler's choices are better than simple ones. Agents are the product's own core, placement the product's own function. Ruled out: a cluster simulator; engines and load reports are fakes at the borders of the decisions.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod demo;
 pub mod entry;
+pub mod replay;
 pub mod standin;
 
 use std::path::PathBuf;
