Place by corrected reports, learned speeds, prefix homes and a draw among the near best

Cause: entries that read the same stale report all chose the same upstream (the herd), and the cost of a request ignored running prefill, generation left and cached prefixes. Ruled out: reservations at agents (a round trip before each request). Change: schedule::placement::Placer corrects each report by own placements since and the time that passed, counts the expected cached prefix at the session's home (rendezvous hash, the same at each entry) and where this entry placed it last, and draws among upstreams within 15 % of the best. The entry's place filter and the replay call the same code.

--- a/components/entry/src/filters/mod.rs
+++ b/components/entry/src/filters/mod.rs
@@ -135,7 +135,7 @@
                 Box::new(limit::Limit::default()),
                 Box::new(admit::Admit),
             ],
-            place: place::Place,
+            place: place::Place::default(),
         }
     }
 
--- a/components/entry/src/filters/place.rs
+++ b/components/entry/src/filters/place.rs
@@ -1,12 +1,14 @@
 //! Where the request goes: the fitting upstream that is expected to finish it first.
 
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use configuration::{Document, Upstream, UpstreamKind};
 use errors::{Refusal, ResultCode};
 use identity::UpstreamId;
 use schedule::cost::{Size, Speed};
-use schedule::placement::{Candidate, Placement, place};
+use schedule::placement::{Ask, Candidate, Placement, Placer};
+use schedule::prefix::Fingerprint;
 use wire::Work;
 
 use super::{Exchange, Filter, Step, View};
@@ -21,8 +23,10 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Chooses the upstream.
-#[derive(Debug)]
-pub struct Place;
+#[derive(Debug, Default)]
+pub struct Place {
+    placer: Mutex<Placer>,
+}
 
 impl Filter for Place {
     fn name(&self) -> &'static str {
@@ -32,7 +36,15 @@
     fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
         let Some(job) = &exchange.job else { return Step::Next };
         let candidates = find_candidates(exchange.view, &job.work, exchange.excluded);
-        match place(&candidates, size_of(&job.work)) {
+        let ask = Ask {
+            size: size_of(&job.work),
+            tier: job.tier,
+            prompt: &fingerprint_of(&job.work),
+            now: exchange.now,
+            draw: rand::random(),
+        };
+        let mut placer = self.placer.lock().unwrap_or_else(PoisonError::into_inner);
+        match placer.place(&candidates, &ask) {
             Placement::Upstream { upstream, .. } => {
                 exchange.upstream = Some(upstream.clone());
                 Step::Next
@@ -54,6 +66,14 @@
     }
 }
 
+/// The body as it came stands for the prompt: callers write their fields in one order.
+fn fingerprint_of(work: &Work) -> Fingerprint {
+    match work {
+        Work::Model(call) => Fingerprint::of(&call.body),
+        Work::Service(_) => Fingerprint::default(),
+    }
+}
+
 /// Every upstream that could do the work now.
 fn find_candidates<'a>(view: &'a View, work: &Work, excluded: &[UpstreamId]) -> Vec<Candidate<'a>> {
     let document = &view.configuration.document;
@@ -96,15 +116,14 @@
         _ => return None,
     };
     let heard = view.heard.get(name);
-    let load = heard.map(|heard| heard.load).unwrap_or_default();
-    let own = heard.map_or(0, |heard| heard.own_outstanding);
     let near = document.region_of(&upstream.zone) == document.region_of(&view.zone);
     Some(Candidate {
         upstream: name,
         speed,
-        outstanding: own.max(load.queued + load.running),
         slots,
-        queued_prefill_tokens: load.queued_prefill_tokens,
+        load: heard.map(|heard| heard.load).unwrap_or_default(),
+        reported_at: heard.map(|heard| heard.at),
+        own_outstanding: heard.map_or(0, |heard| heard.own_outstanding),
         distance: if near { NEAR } else { FAR },
     })
 }
--- a/components/replay/src/policy.rs
+++ b/components/replay/src/policy.rs
@@ -1,9 +1,5 @@
 //! Placement policies: the product's own and the baselines it is measured against.
 
-use identity::UpstreamId;
-use schedule::cost::Size;
-use schedule::placement::{Candidate, Placement, place};
-
 use crate::trace::RequestSpec;
 
 /// A placement policy.
@@ -68,16 +64,3 @@
     };
     chosen.map(|seen| seen.upstream)
 }
-
-/// The choice of the product.
-pub(crate) fn choose_own(
-    candidates: &[Candidate<'_>],
-    names: &[UpstreamId],
-    request: &RequestSpec,
-) -> Option<usize> {
-    let size = Size { prompt_tokens: request.prompt_tokens, max_tokens: request.max_tokens };
-    match place(candidates, size) {
-        Placement::Upstream { upstream, .. } => names.iter().position(|name| name == upstream),
-        Placement::NoUpstream => None,
-    }
-}
--- a/components/replay/src/simulation/entry.rs
+++ b/components/replay/src/simulation/entry.rs
@@ -2,13 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use identity::UpstreamId;
-use schedule::cost::Speed;
-use schedule::placement::Candidate;
+use identity::{Tier, UpstreamId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use schedule::cost::{Size, Speed};
+use schedule::placement::{Ask, Candidate, Placement, Placer};
+use schedule::prefix::Fingerprint;
 use wire::LoadDigest;
 
 use super::Options;
-use crate::policy::{Policy, Seen, choose_baseline, choose_own};
+use crate::policy::{Policy, Seen, choose_baseline};
 use crate::trace::{RequestSpec, UpstreamSpec};
 
 /// Round trip to every upstream of the replay.
@@ -18,6 +21,7 @@
 struct Known {
     spec: UpstreamSpec,
     load: LoadDigest,
+    sampled_at: Option<Instant>,
     own_outstanding: u32,
     unreachable: bool,
 }
@@ -27,6 +31,8 @@
     names: Vec<UpstreamId>,
     known: Vec<Known>,
     policy: Policy,
+    placer: Placer,
+    random: ChaCha8Rng,
     turn: u64,
 }
 
@@ -35,6 +41,7 @@
         let known = |spec: &UpstreamSpec| Known {
             spec: spec.clone(),
             load: LoadDigest::default(),
+            sampled_at: None,
             own_outstanding: 0,
             unreachable: false,
         };
@@ -42,12 +49,15 @@
             names: (0..specs.len()).map(|index| UpstreamId::new(format!("u{index:03}"))).collect(),
             known: specs.iter().map(known).collect(),
             policy: options.policy,
+            placer: Placer::new(options.placement_rules),
+            random: ChaCha8Rng::seed_from_u64(options.seed.wrapping_add(turn)),
             turn,
         }
     }
 
-    pub(super) fn hear(&mut self, upstream: usize, load: LoadDigest, _sampled_at: Instant) {
+    pub(super) fn hear(&mut self, upstream: usize, load: LoadDigest, sampled_at: Instant) {
         self.known[upstream].load = load;
+        self.known[upstream].sampled_at = Some(sampled_at);
     }
 
     pub(super) fn mark_unreachable(&mut self, upstream: usize) {
@@ -62,18 +72,14 @@
         &mut self,
         request: &RequestSpec,
         excluded: &[usize],
-        _now: Instant,
+        now: Instant,
     ) -> Option<usize> {
         self.turn += 1;
         let fitting: Vec<usize> = (0..self.known.len())
             .filter(|index| !excluded.contains(index) && self.fits(*index, request))
             .collect();
         let chosen = match self.policy {
-            Policy::Scheduler => {
-                let candidates: Vec<_> =
-                    fitting.iter().map(|index| self.candidate(*index)).collect();
-                choose_own(&candidates, &self.names, request)
-            }
+            Policy::Scheduler => self.place_own(&fitting, request, now),
             _ => {
                 let seen: Vec<_> = fitting.iter().map(|index| self.seen(*index)).collect();
                 choose_baseline(self.policy, &seen, self.turn, request)
@@ -97,19 +103,54 @@
         }
     }
 
-    fn candidate(&self, index: usize) -> Candidate<'_> {
-        let known = &self.known[index];
-        let step_us = known.spec.step_base_us.max(1);
-        Candidate {
-            upstream: &self.names[index],
-            speed: Speed {
-                prefill_tokens_per_s: known.spec.prefill_tokens_per_s,
-                decode_tokens_per_s: 1_000_000 / step_us,
-            },
-            outstanding: known.own_outstanding.max(known.load.queued + known.load.running),
-            slots: known.spec.slots,
-            queued_prefill_tokens: known.load.queued_prefill_tokens,
-            distance: ROUND_TRIP,
+    fn place_own(
+        &mut self,
+        fitting: &[usize],
+        request: &RequestSpec,
+        now: Instant,
+    ) -> Option<usize> {
+        let candidates: Vec<Candidate<'_>> = fitting
+            .iter()
+            .map(|index| candidate(&self.names[*index], &self.known[*index]))
+            .collect();
+        let ask = Ask {
+            size: Size { prompt_tokens: request.prompt_tokens, max_tokens: request.max_tokens },
+            tier: Tier(request.tier),
+            prompt: &fingerprint(request),
+            now,
+            draw: self.random.random(),
+        };
+        match self.placer.place(&candidates, &ask) {
+            Placement::Upstream { upstream, .. } => {
+                self.names.iter().position(|name| name == upstream)
+            }
+            Placement::NoUpstream => None,
         }
     }
 }
+
+fn candidate<'a>(name: &'a UpstreamId, known: &Known) -> Candidate<'a> {
+    Candidate {
+        upstream: name,
+        speed: Speed {
+            prefill_tokens_per_s: known.spec.prefill_tokens_per_s,
+            decode_tokens_per_s: 1_000_000 / known.spec.step_base_us.max(1),
+        },
+        slots: known.spec.slots,
+        load: known.load,
+        reported_at: known.sampled_at,
+        own_outstanding: known.own_outstanding,
+        distance: ROUND_TRIP,
+    }
+}
+
+/// Blocks of the shared start are alike for a session, those after it for no other request.
+fn fingerprint(request: &RequestSpec) -> Fingerprint {
+    let block = Fingerprint::block_tokens();
+    let shared = u64::from(request.prefix_tokens / block);
+    let chain = (0..u64::from(request.prompt_tokens / block)).map(|index| {
+        let owner = if index < shared { u64::from(request.session) } else { !request.at_us };
+        owner.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(index)
+    });
+    Fingerprint::from_chain(chain.collect())
+}
--- a/components/replay/src/simulation/mod.rs
+++ b/components/replay/src/simulation/mod.rs
@@ -13,6 +13,7 @@
 use identity::{CustomerId, RequestId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use schedule::placement::PlacementRules;
 use wire::{LoadDigest, RequestKey};
 
 use crate::engine::{Output, Prefill};
@@ -46,6 +47,8 @@
     pub report_age: Duration,
     /// Entry hosts.
     pub entries: usize,
+    /// Rules of placement.
+    pub placement_rules: PlacementRules,
     /// Seed of what is drawn during the replay.
     pub seed: u64,
 }
--- a/components/replay/tests/replay.rs
+++ b/components/replay/tests/replay.rs
@@ -4,11 +4,18 @@
 
 use replay::generate::{Deployment, Trouble, generate};
 use replay::{Options, Policy, Trace, replay};
+use schedule::placement::PlacementRules;
 
 const SEED: u64 = 7;
 
 fn options(policy: Policy) -> Options {
-    Options { policy, report_age: Duration::from_secs(1), entries: 3, seed: SEED }
+    Options {
+        policy,
+        report_age: Duration::from_secs(1),
+        entries: 3,
+        placement_rules: PlacementRules::default(),
+        seed: SEED,
+    }
 }
 
 #[test]
--- /dev/null
+++ b/components/schedule/benches/placement.rs
@@ -0,0 +1,53 @@
+//! What a placement costs over fleets of several sizes.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use identity::{Tier, UpstreamId};
+use schedule::cost::{Size, Speed};
+use schedule::placement::{Ask, Candidate, Placer};
+use schedule::prefix::Fingerprint;
+use wire::LoadDigest;
+
+fn place(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("place");
+    for count in [20_u32, 100, 600] {
+        let names: Vec<_> = (0..count).map(|n| UpstreamId::new(format!("u{n}"))).collect();
+        let now = Instant::now();
+        let candidates: Vec<_> =
+            names.iter().zip(0..).map(|(name, n)| candidate(name, n, now)).collect();
+        let prompt = Fingerprint::from_chain((0..16).collect());
+        let mut placer = Placer::default();
+        let mut draw = 0;
+        group.bench_with_input(
+            BenchmarkId::from_parameter(count),
+            &candidates,
+            |bencher, fleet| {
+                bencher.iter(|| {
+                    draw += 1;
+                    let size = Size { prompt_tokens: 4_000, max_tokens: 300 };
+                    let at = now + Duration::from_millis(draw * 83);
+                    let ask = Ask { size, tier: Tier(2), prompt: &prompt, now: at, draw };
+                    black_box(placer.place(fleet, &ask))
+                });
+            },
+        );
+    }
+    group.finish();
+}
+
+fn candidate(name: &UpstreamId, n: u32, now: Instant) -> Candidate<'_> {
+    Candidate {
+        upstream: name,
+        speed: Speed { prefill_tokens_per_s: 2_000 + n % 5 * 1_000, decode_tokens_per_s: 40 },
+        slots: 16,
+        load: LoadDigest { queued: n % 3, running: n % 16, limit: 16, ..LoadDigest::default() },
+        reported_at: Some(now),
+        own_outstanding: 0,
+        distance: Duration::from_millis(1),
+    }
+}
+
+criterion_group!(benches, place);
+criterion_main!(benches);
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -5,4 +5,6 @@
 
 pub mod cost;
 pub mod placement;
+pub mod prefix;
 pub mod queue;
+pub mod recent;
--- a/components/schedule/src/placement.rs
+++ b/components/schedule/src/placement.rs
@@ -1,28 +1,84 @@
 //! Chooses the upstream on which a request is expected to finish first.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use identity::UpstreamId;
+use identity::{Tier, UpstreamId};
+use wire::LoadDigest;
 
 use crate::cost::{Size, Speed, decode_time, prefill_time};
+use crate::prefix::{Expected, Fingerprint, Prefixes};
+use crate::recent::{Recent, Unreported};
+
+/// Share of the tokens allowed that answers have on the whole.
+const EXPECTED_TOKENS_SHARE: f64 = 0.7;
+
+/// How much each further request slows the generation of the others.
+const SLOWDOWN_PER_REQUEST: f64 = 0.03;
+
+/// Finishes this much later than the best count as equal, in parts of the best.
+const NEAR_BEST: f64 = 0.15;
+
+/// The highest tier never waits for a place: lower tiers give way to it.
+const TOP_TIER: Tier = Tier(0);
+
+/// Which rules of placement are on; all are, but where the cost of one is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementRules {
+    /// Reports are corrected by own placements since and by the time that has passed.
+    pub correct_reports: bool,
+    /// Speeds are those that agents observed, not those of the settings.
+    pub learned_speeds: bool,
+    /// One of the near-best upstreams is drawn, so that entries do not all choose the same.
+    pub spread: bool,
+    /// Prompts return to where their start is cached.
+    pub prefix_home: bool,
+}
+
+impl Default for PlacementRules {
+    fn default() -> Self {
+        PlacementRules {
+            correct_reports: true,
+            learned_speeds: true,
+            spread: true,
+            prefix_home: true,
+        }
+    }
+}
 
 /// An upstream that fits a request, as the entry process sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
     /// The upstream.
     pub upstream: &'a UpstreamId,
-    /// Its speed.
+    /// Its speed by the settings.
     pub speed: Speed,
-    /// Requests in flight or waiting there.
-    pub outstanding: u32,
-    /// Requests that it works on at once.
+    /// Requests that it works on at once by the settings.
     pub slots: u32,
-    /// Prompt tokens that wait there.
-    pub queued_prefill_tokens: u64,
+    /// Its last report.
+    pub load: LoadDigest,
+    /// When the report was made; `None` before the first.
+    pub reported_at: Option<Instant>,
+    /// Requests of this process in flight there.
+    pub own_outstanding: u32,
     /// Time for a message to get there and back.
     pub distance: Duration,
 }
 
+/// A request that is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Its size.
+    pub size: Size,
+    /// Its tier.
+    pub tier: Tier,
+    /// Its prompt.
+    pub prompt: &'a Fingerprint,
+    /// The time of the decision.
+    pub now: Instant,
+    /// A number drawn for this decision.
+    pub draw: u64,
+}
+
 /// What to do with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Placement<'a> {
@@ -37,23 +93,147 @@
     NoUpstream,
 }
 
-/// Places a request on the candidate with the earliest expected finish.
-pub fn place<'a>(candidates: &[Candidate<'a>], size: Size) -> Placement<'a> {
-    candidates
-        .iter()
-        .map(|candidate| (expected_finish(candidate, size), candidate.upstream))
-        .min()
-        .map_or(Placement::NoUpstream, |(finish, upstream)| Placement::Upstream {
-            upstream,
-            finish,
-        })
-}
-
-/// When a request would be done on a candidate.
-pub fn expected_finish(candidate: &Candidate<'_>, size: Size) -> Duration {
-    let prefill_tokens = candidate.queued_prefill_tokens + u64::from(size.prompt_tokens);
-    let own_decode = decode_time(size.max_tokens.into(), candidate.speed);
-    let waiting = candidate.outstanding.saturating_sub(candidate.slots.saturating_sub(1));
-    let turn = own_decode * waiting / candidate.slots.max(1);
-    candidate.distance + prefill_time(prefill_tokens, candidate.speed) + own_decode + turn
+/// The state that placement keeps between requests.
+#[derive(Debug, Default)]
+pub struct Placer {
+    rules: PlacementRules,
+    recent: Recent,
+    prefixes: Prefixes,
+}
+
+impl Placer {
+    /// A placer with the given rules.
+    pub fn new(rules: PlacementRules) -> Placer {
+        Placer { rules, ..Placer::default() }
+    }
+
+    /// Places a request on a candidate with the earliest expected finish and remembers it.
+    pub fn place<'a>(&mut self, candidates: &[Candidate<'a>], ask: &Ask<'_>) -> Placement<'a> {
+        let Some((finish, upstream)) = self.choose(candidates, ask) else {
+            return Placement::NoUpstream;
+        };
+        self.recent.add(upstream, ask.size, ask.now);
+        self.prefixes.add(ask.prompt, upstream);
+        Placement::Upstream { upstream, finish }
+    }
+
+    fn choose<'a>(
+        &self,
+        candidates: &[Candidate<'a>],
+        ask: &Ask<'_>,
+    ) -> Option<(Duration, &'a UpstreamId)> {
+        let expected = self.prefixes.expect(ask.prompt).filter(|_| self.rules.prefix_home);
+        let home = expected.and_then(|expected| find_home(candidates, &expected));
+        let finishes: Vec<(Duration, &UpstreamId)> = candidates
+            .iter()
+            .map(|candidate| {
+                let cached = cached_tokens(expected.as_ref(), home, candidate.upstream);
+                (self.expected_finish(candidate, ask, cached), candidate.upstream)
+            })
+            .collect();
+        let best = *finishes.iter().min()?;
+        if !self.rules.spread {
+            return Some(best);
+        }
+        let bound = best.0.mul_f64(1.0 + NEAR_BEST);
+        let near: Vec<_> = finishes.into_iter().filter(|(finish, _)| *finish <= bound).collect();
+        near.get((ask.draw % near.len() as u64) as usize).copied()
+    }
+
+    /// When a request would be done on a candidate that holds `cached` tokens of its prompt.
+    fn expected_finish(&self, candidate: &Candidate<'_>, ask: &Ask<'_>, cached: u32) -> Duration {
+        let work = self.work_ahead(candidate, ask.now);
+        let prompt = u64::from(ask.size.prompt_tokens.saturating_sub(cached));
+        // Prefill is shared evenly: each request ahead takes as much as this one at most.
+        let shared = work.prefill_tokens.min(prompt * u64::from(work.requests));
+        let prefill = prefill_time(prompt + shared, work.speed);
+        let tokens = (f64::from(ask.size.max_tokens) * EXPECTED_TOKENS_SHARE) as u64;
+        let wait = if ask.tier == TOP_TIER { Duration::ZERO } else { work.wait() };
+        candidate.distance + wait + prefill + decode_time(tokens, work.speed)
+    }
+
+    fn work_ahead(&self, candidate: &Candidate<'_>, now: Instant) -> Work {
+        let load = candidate.load;
+        let unreported = if self.rules.correct_reports {
+            self.recent.since(candidate.upstream, candidate.reported_at)
+        } else {
+            Unreported::default()
+        };
+        let age = match candidate.reported_at {
+            Some(at) if self.rules.correct_reports => now.saturating_duration_since(at),
+            _ => Duration::ZERO,
+        };
+        let mut speed = candidate.speed;
+        if self.rules.learned_speeds {
+            speed = learned(speed, load);
+        }
+        let limit = if load.limit == 0 { candidate.slots } else { load.limit }.max(1);
+        let reported = load.queued + load.running;
+        let drained_decode = age.as_secs_f64()
+            * f64::from(speed.decode_tokens_per_s)
+            * f64::from(reported.min(limit));
+        let drained_prefill = age.as_secs_f64() * f64::from(speed.prefill_tokens_per_s);
+        let decode_left = load.remaining_decode_tokens.saturating_sub(drained_decode as u64);
+        let left = match load.remaining_decode_tokens {
+            0 => 1.0,
+            total => decode_left as f64 / total as f64,
+        };
+        let reported_left = (f64::from(reported) * left).ceil() as u32;
+        let requests = candidate.own_outstanding.max(reported_left + unreported.requests);
+        let more = f64::from(requests) - f64::from(load.running);
+        let slowdown = (1.0 + SLOWDOWN_PER_REQUEST * more).max(0.5);
+        speed.decode_tokens_per_s = (f64::from(speed.decode_tokens_per_s) / slowdown) as u32;
+        Work {
+            speed,
+            limit,
+            requests,
+            prefill_tokens: load.queued_prefill_tokens.saturating_sub(drained_prefill as u64)
+                + unreported.prompt_tokens,
+            decode_tokens: decode_left + unreported.max_tokens,
+        }
+    }
+}
+
+/// What an upstream is believed to have before it.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    speed: Speed,
+    limit: u32,
+    requests: u32,
+    prefill_tokens: u64,
+    decode_tokens: u64,
+}
+
+impl Work {
+    /// Time until a request that joins the end of the queue is handed over.
+    fn wait(&self) -> Duration {
+        if self.requests < self.limit {
+            return Duration::ZERO;
+        }
+        let ahead = f64::from(self.requests + 1 - self.limit) / f64::from(self.requests);
+        let decode = decode_time(self.decode_tokens, self.speed) / self.limit;
+        (decode + prefill_time(self.prefill_tokens, self.speed)).mul_f64(ahead)
+    }
+}
+
+fn learned(settings: Speed, load: LoadDigest) -> Speed {
+    let or = |observed: u32, given: u32| if observed == 0 { given } else { observed };
+    Speed {
+        prefill_tokens_per_s: or(load.prefill_tokens_per_s, settings.prefill_tokens_per_s),
+        decode_tokens_per_s: or(load.decode_tokens_per_s, settings.decode_tokens_per_s),
+    }
+}
+
+fn find_home<'a>(candidates: &[Candidate<'a>], expected: &Expected<'_>) -> Option<&'a UpstreamId> {
+    candidates.iter().map(|candidate| candidate.upstream).max_by_key(|name| expected.rank(name))
+}
+
+fn cached_tokens(
+    expected: Option<&Expected<'_>>,
+    home: Option<&UpstreamId>,
+    upstream: &UpstreamId,
+) -> u32 {
+    let Some(expected) = expected else { return 0 };
+    let likely = home == Some(upstream) || expected.placed_on == Some(upstream);
+    if likely { expected.tokens } else { 0 }
 }
--- a/src/cmd/replay/cells.rs
+++ b/src/cmd/replay/cells.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 use replay::generate::{Deployment, Trouble, generate};
 use replay::{Figures, Options, Policy, Trace, replay};
+use schedule::placement::PlacementRules;
 use serde_json::json;
 
 /// A trace with the age of the load reports.
@@ -84,7 +85,9 @@
 /// One thread for each policy; each replay is deterministic by itself.
 fn replay_all(cell: &Cell, entries: usize, seed: u64) -> Vec<(Policy, Figures)> {
     let run = |policy| {
-        let options = Options { policy, report_age: cell.report_age, entries, seed };
+        let placement_rules = PlacementRules::default();
+        let options =
+            Options { policy, report_age: cell.report_age, entries, placement_rules, seed };
         (policy, replay(&cell.trace, options))
     };
     std::thread::scope(|scope| {
