Test that the highest tier is neither refused nor kept waiting while a lower one runs (red)

Cause: the agent orders its queue by tier but never takes a place back from what runs. Change: components/agent/tests/tiers.rs.

--- /dev/null
+++ b/components/agent/tests/tiers.rs
@@ -0,0 +1,177 @@
+//! The highest tier at the agent: never refused and never kept waiting while lower tiers run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use agent::core::{Action, Core, Cursor, ReadStep, UpstreamEvent};
+use bytes::Bytes;
+use clock::{Clock, ManualClock};
+use errors::{Outcome, Refusal, ResultCode};
+use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+use wire::{AnswerEvent, Dispatch, ModelCall, RequestKey, ServiceCall, Work};
+
+fn key(id: usize) -> RequestKey {
+    RequestKey { customer: CustomerId::new("c"), request_id: RequestId::new(id.to_string()) }
+}
+
+fn model_call(id: usize, tier: u8, prompt_tokens: u32) -> Dispatch {
+    Dispatch {
+        key: key(id),
+        epoch: DispatchEpoch(1),
+        tier: Tier(tier),
+        time_left: Duration::from_secs(600),
+        config_version: ConfigVersion(1),
+        work: Work::Model(ModelCall {
+            model: ModelId::new("m"),
+            body: Bytes::new(),
+            prompt_tokens,
+            max_tokens: 10,
+        }),
+    }
+}
+
+fn booking(id: usize, tier: u8) -> Dispatch {
+    let call = ServiceCall {
+        service: ServiceId::new("booking"),
+        method: "POST".to_owned(),
+        target: "/".to_owned(),
+        content_type: String::new(),
+        idempotency_key: id.to_string(),
+        body: Bytes::new(),
+    };
+    Dispatch { work: Work::Service(call), ..model_call(id, tier, 0) }
+}
+
+fn refusal_of(core: &Core, key: &RequestKey) -> Option<Refusal> {
+    let mut cursor = Cursor::default();
+    while let ReadStep::Event(event) = core.read(key, &mut cursor) {
+        if let AnswerEvent::Refused(refusal) = event {
+            return Some(refusal);
+        }
+    }
+    None
+}
+
+fn started(actions: &[Action]) -> Vec<RequestKey> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Start(dispatch) => Some(dispatch.key.clone()),
+        _ => None,
+    });
+    keys.collect()
+}
+
+fn aborted(actions: &[Action]) -> Vec<RequestKey> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Abort(key) => Some(key.clone()),
+        _ => None,
+    });
+    keys.collect()
+}
+
+#[test]
+fn the_highest_tier_takes_the_place_of_the_one_with_the_least_prefill_to_lose() {
+    let clock = ManualClock::new();
+    let mut core = Core::new(2);
+    core.dispatch(model_call(1, 3, 50_000), clock.now());
+    clock.advance(Duration::from_millis(400));
+    core.dispatch(model_call(2, 2, 100), clock.now());
+    clock.advance(Duration::from_millis(50));
+    let (_, actions) = core.dispatch(model_call(3, 0, 100), clock.now());
+    assert_eq!(aborted(&actions), [key(2)]);
+    assert_eq!(started(&actions), [key(3)]);
+}
+
+#[test]
+fn the_preempted_one_is_told_at_once_that_it_ran_and_when_to_come_back() {
+    let clock = ManualClock::new();
+    let mut core = Core::new(1);
+    core.dispatch(model_call(1, 3, 100), clock.now());
+    let (_, actions) = core.dispatch(model_call(2, 0, 100), clock.now());
+    assert!(actions.contains(&Action::Wake(key(1))));
+    let refusal = refusal_of(&core, &key(1)).expect("an answer");
+    assert_eq!((refusal.code, refusal.outcome), (ResultCode::Preempted, Outcome::Ran));
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn a_call_of_a_service_is_never_preempted() {
+    let clock = ManualClock::new();
+    let mut core = Core::new(1);
+    core.dispatch(booking(1, 3), clock.now());
+    let (_, actions) = core.dispatch(booking(2, 0), clock.now());
+    assert!(aborted(&actions).is_empty());
+    assert!(started(&actions).is_empty());
+}
+
+/// One agent under random work, checked after every step.
+struct Check {
+    clock: ManualClock,
+    core: Core,
+    tiers: Vec<u8>,
+    running: BTreeMap<usize, u8>,
+}
+
+impl Check {
+    fn new(limit: u32) -> Check {
+        let clock = ManualClock::new();
+        Check { clock, core: Core::new(limit), tiers: Vec::new(), running: BTreeMap::new() }
+    }
+
+    fn step(&mut self, kind: u8, value: u8) {
+        let now = self.clock.now();
+        let actions = match kind % 4 {
+            0 => {
+                let id = self.tiers.len();
+                self.tiers.push(value % 4);
+                self.core.dispatch(model_call(id, value % 4, 100 + u32::from(value) * 100), now).1
+            }
+            1 => self.say(value, UpstreamEvent::Finished),
+            2 => self.say(value, UpstreamEvent::Data(Bytes::from_static(b"t"))),
+            _ => {
+                self.clock.advance(Duration::from_millis(u64::from(value) * 10));
+                self.core.on_tick(self.clock.now())
+            }
+        };
+        self.follow(&actions);
+        self.assert_top_tier_is_served();
+    }
+
+    fn say(&mut self, value: u8, event: UpstreamEvent) -> Vec<Action> {
+        let nth = usize::from(value) % self.running.len().max(1);
+        let Some(id) = self.running.keys().nth(nth).copied() else { return Vec::new() };
+        if event == UpstreamEvent::Finished {
+            self.running.remove(&id);
+        }
+        self.core.on_upstream(&key(id), event, self.clock.now())
+    }
+
+    fn follow(&mut self, actions: &[Action]) {
+        for id in aborted(actions).iter().filter_map(|key| key.request_id.as_str().parse().ok()) {
+            self.running.remove(&id);
+        }
+        for key in started(actions) {
+            let id = key.request_id.as_str().parse().expect("a number");
+            self.running.insert(id, self.tiers[id]);
+        }
+    }
+
+    fn assert_top_tier_is_served(&self) {
+        let lower_runs = self.running.values().any(|tier| *tier > 0);
+        for (id, _) in self.tiers.iter().enumerate().filter(|(_, tier)| **tier == 0) {
+            let refused = refusal_of(&self.core, &key(id));
+            assert!(refused.is_none(), "tier 0 was refused: {refused:?}");
+        }
+        let waits = self.core.next_tier() == Some(Tier(0));
+        assert!(!(waits && lower_runs), "tier 0 waits while a lower tier runs");
+    }
+}
+
+#[test]
+fn the_highest_tier_never_waits_or_is_refused_while_a_lower_one_runs() {
+    bolero::check!().with_type::<(u8, Vec<(u8, u8)>)>().for_each(|(limit, steps)| {
+        let mut check = Check::new(1 + u32::from(limit % 4));
+        for (kind, value) in steps {
+            check.step(*kind, *value);
+        }
+    });
+}
