Preempt lower tiers for the highest, and learn the pace of each upstream

Cause: a request of the highest tier waited behind lower ones that ran, and the digest of an agent said nothing of running prefill, generation left or speeds observed. Ruled out: reserved slots (capacity lost while the highest tier is quiet); cancelling by tier alone (throws away long prefills). Change: where the next in the queue is of tier 0 and no slot is free, the lower-tier model request with the least prefill computed is cancelled and told at once that it ran, with a spread time to come back. Calls of services are never cancelled. The agent keeps what is in flight, learns prefill and generation speeds from streamed answers and reports them.

--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -1,5 +1,7 @@
 //! The agent's decisions: what waits, what runs, what was refused, and what each reader is due.
 
+mod in_flight;
+mod preempt;
 mod record;
 mod transcript;
 
@@ -8,9 +10,11 @@
 
 use errors::{Outcome, Refusal, ResultCode};
 use identity::Tier;
+use schedule::pace::Pace;
 use schedule::queue::Queue;
 use wire::{Dispatch, LoadDigest, RequestKey, Work};
 
+use in_flight::InFlight;
 use record::{Record, State};
 pub use transcript::{Cursor, ReadStep};
 
@@ -78,11 +82,30 @@
     NotRun,
 }
 
+/// Which rules of the agent are on; all are, but where the cost of one is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AgentRules {
+    /// What runs of lower tiers gives way to the highest.
+    pub preempt: bool,
+}
+
+impl Default for AgentRules {
+    fn default() -> Self {
+        AgentRules { preempt: true }
+    }
+}
+
+impl AgentRules {
+    /// Every rule off: a plain queue before a fixed number of slots.
+    pub const OFF: AgentRules = AgentRules { preempt: false };
+}
+
 /// The state of one agent.
 #[derive(Debug)]
 pub struct Core {
-    limit: u32,
-    running: u32,
+    rules: AgentRules,
+    pace: Pace,
+    in_flight: InFlight,
     leaving: bool,
     queue: Queue<RequestKey>,
     records: HashMap<RequestKey, Record>,
@@ -91,7 +114,19 @@
 impl Core {
     /// An agent that hands over at most `limit` requests at once.
     pub fn new(limit: u32) -> Core {
-        Core { limit, running: 0, leaving: false, queue: Queue::new(), records: HashMap::new() }
+        Core::with_rules(limit, AgentRules::default())
+    }
+
+    /// An agent with some rules switched off.
+    pub fn with_rules(limit: u32, rules: AgentRules) -> Core {
+        Core {
+            rules,
+            pace: Pace::new(limit),
+            in_flight: InFlight::default(),
+            leaving: false,
+            queue: Queue::new(),
+            records: HashMap::new(),
+        }
     }
 
     /// Takes a request, or says why not.
@@ -122,8 +157,9 @@
             return Vec::new();
         }
         let mut actions = vec![Action::Wake(key.clone())];
+        self.in_flight.observe(key, &event, &mut self.pace, now);
         if record.take_upstream_event(event, now) {
-            self.running -= 1;
+            self.in_flight.remove(key);
             actions.extend(self.fill(now));
         }
         actions
@@ -151,7 +187,7 @@
             }
             State::Running if record.is_model() => {
                 record.end(Refusal::new(ResultCode::Withdrawn, Outcome::Ran), now);
-                self.running -= 1;
+                self.in_flight.remove(key);
                 let mut actions = vec![Action::Abort(key.clone()), Action::Wake(key.clone())];
                 actions.extend(self.fill(now));
                 actions
@@ -202,29 +238,27 @@
 
     /// Whether nothing waits or runs.
     pub fn is_idle(&self) -> bool {
-        self.running == 0 && self.queue.is_empty()
+        self.in_flight.len() == 0 && self.queue.is_empty()
     }
 
     /// Load at this moment.
     pub fn load(&self) -> LoadDigest {
+        let speed = self.pace.speed();
         let mut load = LoadDigest {
             queued: self.queue.len() as u32,
-            running: self.running,
-            limit: self.limit,
+            running: self.in_flight.len(),
+            limit: self.pace.limit(),
             leaving: self.leaving,
-            ..LoadDigest::default()
+            queued_prefill_tokens: self.in_flight.prefill_left(),
+            remaining_decode_tokens: self.in_flight.decode_left(),
+            prefill_tokens_per_s: speed.prefill_tokens_per_s,
+            decode_tokens_per_s: speed.decode_tokens_per_s,
         };
-        for record in self.records.values() {
-            let Some(Work::Model(call)) = record.dispatch.as_deref().map(|d| &d.work) else {
-                continue;
-            };
-            match record.state {
-                State::Queued => {
-                    load.queued_prefill_tokens += u64::from(call.prompt_tokens);
-                    load.remaining_decode_tokens += u64::from(call.max_tokens);
-                }
-                State::Running => load.remaining_decode_tokens += u64::from(call.max_tokens),
-                _ => {}
+        for key in self.queue.iter() {
+            let dispatch = self.records.get(key).and_then(|record| record.dispatch.as_deref());
+            if let Some(Work::Model(call)) = dispatch.map(|dispatch| &dispatch.work) {
+                load.queued_prefill_tokens += u64::from(call.prompt_tokens);
+                load.remaining_decode_tokens += u64::from(call.max_tokens);
             }
         }
         load
@@ -237,7 +271,11 @@
 
     fn fill(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        while self.running < self.limit {
+        loop {
+            if self.in_flight.len() >= self.pace.limit() {
+                let Some(given_way) = self.make_room(now) else { break };
+                actions.extend(given_way);
+            }
             let Some(key) = self.queue.pop() else { break };
             let Some(record) = self.records.get_mut(&key) else { continue };
             if record.deadline <= now {
@@ -246,7 +284,7 @@
                 continue;
             }
             if let Some(dispatch) = record.start() {
-                self.running += 1;
+                self.in_flight.add(&dispatch, now);
                 actions.push(Action::Start(dispatch));
             }
         }
--- a/components/replay/src/simulation/mod.rs
+++ b/components/replay/src/simulation/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
-use agent::core::{Action, Admission, UpstreamEvent};
+use agent::core::{Action, Admission, AgentRules, UpstreamEvent};
 use bytes::Bytes;
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{CustomerId, RequestId};
@@ -49,6 +49,8 @@
     pub entries: usize,
     /// Rules of placement.
     pub placement_rules: PlacementRules,
+    /// Rules of the agents.
+    pub agent_rules: AgentRules,
     /// Seed of what is drawn during the replay.
     pub seed: u64,
 }
@@ -267,8 +269,11 @@
                 continue;
             }
             let key = key_of(self.trace.requests[request].customer, request);
-            self.token(request);
+            let first = self.token(request);
             let core = &mut self.upstreams[upstream].core;
+            if first {
+                core.on_upstream(&key, stream_start(), now);
+            }
             let piece = UpstreamEvent::Data(Bytes::from_static(b"t"));
             let mut actions = core.on_upstream(&key, piece, now);
             if matches!(output, Output::Last(_)) {
@@ -282,16 +287,16 @@
         self.begin_step(upstream);
     }
 
-    fn token(&mut self, request: usize) {
+    /// Records a token; true where it is the first.
+    fn token(&mut self, request: usize) -> bool {
         let spec = &self.trace.requests[request];
         let last = self.runs[request].last_token_us.replace(self.now_us);
-        if spec.service {
-            return;
-        }
         match last {
+            _ if spec.service => {}
             None => self.recorder.first_token(spec.tier, self.now_us - spec.at_us),
             Some(last) => self.recorder.between_tokens(spec.tier, self.now_us - last),
         }
+        last.is_none()
     }
 
     fn abort(&mut self, upstream: usize, request: usize) {
@@ -434,3 +439,7 @@
 fn index_of(key: &RequestKey) -> usize {
     key.request_id.as_str().parse().expect("ids of the replay are numbers")
 }
+
+fn stream_start() -> UpstreamEvent {
+    UpstreamEvent::Started { status: 200, content_type: "text/event-stream".to_owned() }
+}
--- a/components/replay/src/simulation/upstream.rs
+++ b/components/replay/src/simulation/upstream.rs
@@ -24,9 +24,9 @@
 }
 
 impl UpstreamState {
-    pub(super) fn new(spec: &UpstreamSpec, _options: Options) -> UpstreamState {
+    pub(super) fn new(spec: &UpstreamSpec, options: Options) -> UpstreamState {
         UpstreamState {
-            core: Core::new(spec.slots),
+            core: Core::with_rules(spec.slots, options.agent_rules),
             engine: Engine::new(spec.clone()),
             stepping: false,
             lost: false,
--- a/components/replay/tests/replay.rs
+++ b/components/replay/tests/replay.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agent::core::AgentRules;
 use replay::generate::{Deployment, Trouble, generate};
 use replay::{Options, Policy, Trace, replay};
 use schedule::placement::PlacementRules;
@@ -14,6 +15,7 @@
         report_age: Duration::from_secs(1),
         entries: 3,
         placement_rules: PlacementRules::default(),
+        agent_rules: AgentRules::default(),
         seed: SEED,
     }
 }
--- a/components/schedule/src/lib.rs
+++ b/components/schedule/src/lib.rs
@@ -4,7 +4,10 @@
 //! The same code runs in the entry process, in the agent and in replay.
 
 pub mod cost;
+pub mod pace;
 pub mod placement;
+pub mod preempt;
 pub mod prefix;
 pub mod queue;
 pub mod recent;
+pub mod retry;
--- a/components/schedule/src/placement.rs
+++ b/components/schedule/src/placement.rs
@@ -6,6 +6,7 @@
 use wire::LoadDigest;
 
 use crate::cost::{Size, Speed, decode_time, prefill_time};
+use crate::preempt::TOP_TIER;
 use crate::prefix::{Expected, Fingerprint, Prefixes};
 use crate::recent::{Recent, Unreported};
 
@@ -18,9 +19,6 @@
 /// Finishes this much later than the best count as equal, in parts of the best.
 const NEAR_BEST: f64 = 0.15;
 
-/// The highest tier never waits for a place: lower tiers give way to it.
-const TOP_TIER: Tier = Tier(0);
-
 /// Which rules of placement are on; all are, but where the cost of one is measured.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementRules {
--- a/components/schedule/src/queue.rs
+++ b/components/schedule/src/queue.rs
@@ -60,6 +60,11 @@
         self.waiting.first_key_value().map(|(rank, _)| rank.tier)
     }
 
+    /// Everything that waits, in order.
+    pub fn iter(&self) -> impl Iterator<Item = &K> {
+        self.waiting.values()
+    }
+
     /// How many wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/src/cmd/replay/cells.rs
+++ b/src/cmd/replay/cells.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agent::core::AgentRules;
 use anyhow::Result;
 use replay::generate::{Deployment, Trouble, generate};
 use replay::{Figures, Options, Policy, Trace, replay};
@@ -85,9 +86,17 @@
 /// One thread for each policy; each replay is deterministic by itself.
 fn replay_all(cell: &Cell, entries: usize, seed: u64) -> Vec<(Policy, Figures)> {
     let run = |policy| {
-        let placement_rules = PlacementRules::default();
-        let options =
-            Options { policy, report_age: cell.report_age, entries, placement_rules, seed };
+        let options = Options {
+            policy,
+            report_age: cell.report_age,
+            entries,
+            placement_rules: PlacementRules::default(),
+            agent_rules: match policy {
+                Policy::Scheduler => AgentRules::default(),
+                _ => AgentRules::OFF,
+            },
+            seed,
+        };
         (policy, replay(&cell.trace, options))
     };
     std::thread::scope(|scope| {
