Agent: single long prefill, limit by the time between tokens, hopeless work answered at once

Cause: prefill of long prompts shared the engine with the highest tier's (first token p95 2.5 s at twice capacity), and work that could not finish was started and cut at its deadline. Change: a long prompt waits at the agent while one of its own or a higher tier is in prefill; the limit in flight falls where more than 5 % of gaps exceed 60 ms and grows again when calm; what cannot be done in time even in half the estimate is refused before it runs (Overloaded, not run, so that it may be placed elsewhere). The program switches rules off one by one (--ablations).

--- a/components/agent/src/core/in_flight.rs
+++ b/components/agent/src/core/in_flight.rs
@@ -5,7 +5,7 @@
 
 use identity::Tier;
 use schedule::pace::Pace;
-use schedule::preempt::Running;
+use schedule::preempt::{Running, TOP_TIER};
 use wire::{Dispatch, RequestKey, Work};
 
 use super::UpstreamEvent;
@@ -13,6 +13,12 @@
 /// Prompts shorter than this tell nothing of the speed of prefill.
 const PREFILL_SAMPLE_TOKENS: u32 = 256;
 
+/// Prompts longer than this hold the prefill of others up.
+const LONG_PROMPT_TOKENS: u32 = 1_024;
+
+/// How much longer than expected a prefill may take before the next one may start.
+const PREFILL_PATIENCE: f64 = 2.0;
+
 /// Speed of prefill that is assumed until one has been observed.
 const ASSUMED_PREFILL_TOKENS_PER_S: u32 = 2_000;
 
@@ -101,6 +107,18 @@
         })
     }
 
+    /// The highest tier that has a long prompt in prefill. Answers that come in one piece do not show the end of
+    /// their prefill; it is taken to be over once it has had its time.
+    pub(super) fn tier_in_prefill(&self, pace: &Pace, now: Instant) -> Option<Tier> {
+        let speed = prefill_speed(pace) / PREFILL_PATIENCE;
+        let is_due = |flight: &&Flight| {
+            let elapsed_s = now.saturating_duration_since(flight.started_at).as_secs_f64();
+            elapsed_s * speed < flight.shared_tokens as f64
+        };
+        let long = self.in_prefill().filter(|flight| flight.holds_prefill());
+        long.filter(is_due).map(|flight| flight.tier).min()
+    }
+
     /// Prompt tokens that are still to be computed, as far as is known.
     pub(super) fn prefill_left(&self) -> u64 {
         self.in_prefill().map(|flight| u64::from(flight.prompt_tokens)).sum()
@@ -118,6 +136,10 @@
 }
 
 impl Flight {
+    fn holds_prefill(&self) -> bool {
+        self.tier > TOP_TIER && self.prompt_tokens > LONG_PROMPT_TOKENS
+    }
+
     fn observe_piece(&mut self, pace: &mut Pace, now: Instant) {
         self.pieces += 1;
         let last = self.last_piece_at.replace(now);
@@ -143,6 +165,11 @@
     }
 }
 
+/// Whether a request would hold up the prefill of others.
+pub(super) fn holds_prefill(dispatch: &Dispatch) -> bool {
+    dispatch.tier > TOP_TIER && size_of(dispatch).0 > LONG_PROMPT_TOKENS
+}
+
 fn prefill_speed(pace: &Pace) -> f64 {
     match pace.speed().prefill_tokens_per_s {
         0 => ASSUMED_PREFILL_TOKENS_PER_S.into(),
--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The agent's decisions: what waits, what runs, what was refused, and what each reader is due.
 
 mod in_flight;
+mod overdue;
 mod preempt;
 mod record;
 mod transcript;
@@ -87,17 +88,28 @@
 pub struct AgentRules {
     /// What runs of lower tiers gives way to the highest.
     pub preempt: bool,
+    /// A long prompt waits while one of its own or a higher tier is in prefill.
+    pub single_prefill: bool,
+    /// The limit in flight follows the time between tokens.
+    pub adapt_limit: bool,
+    /// Work that can no longer finish in time is answered at once.
+    pub drop_hopeless: bool,
 }
 
 impl Default for AgentRules {
     fn default() -> Self {
-        AgentRules { preempt: true }
+        AgentRules { preempt: true, single_prefill: true, adapt_limit: true, drop_hopeless: true }
     }
 }
 
 impl AgentRules {
     /// Every rule off: a plain queue before a fixed number of slots.
-    pub const OFF: AgentRules = AgentRules { preempt: false };
+    pub const OFF: AgentRules = AgentRules {
+        preempt: false,
+        single_prefill: false,
+        adapt_limit: false,
+        drop_hopeless: false,
+    };
 }
 
 /// The state of one agent.
@@ -139,8 +151,13 @@
             return (Admission::Refused(refusal), Vec::new());
         }
         let deadline = now + dispatch.time_left;
+        let latest_start = self.latest_start(&dispatch, deadline);
+        if latest_start <= now && latest_start < deadline {
+            let refusal = overdue::too_late(dispatch.key.request_id.as_str());
+            return (Admission::Refused(refusal), Vec::new());
+        }
         let key = dispatch.key.clone();
-        self.queue.push(key.clone(), dispatch.tier, deadline);
+        self.queue.push(key.clone(), dispatch.tier, latest_start);
         self.records.insert(key, Record::queued(dispatch, deadline));
         (Admission::Held, self.fill(now))
     }
@@ -198,13 +215,10 @@
 
     /// Does what time brings: overdue requests are answered, old answers dropped.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for key in self.queue.take_overdue(now) {
-            if let Some(record) = self.records.get_mut(&key) {
-                record.end_not_run(Refusal::not_run(ResultCode::DeadlinePassed), now);
-                actions.push(Action::Wake(key));
-            }
+        if self.rules.adapt_limit {
+            self.pace.adjust(self.in_flight.len(), !self.queue.is_empty(), now);
         }
+        let actions = self.fill(now);
         self.records.retain(|_, record| !record.is_expired(now));
         actions
     }
@@ -270,19 +284,14 @@
     }
 
     fn fill(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = self.answer_overdue(now);
         loop {
             if self.in_flight.len() >= self.pace.limit() {
                 let Some(given_way) = self.make_room(now) else { break };
                 actions.extend(given_way);
             }
-            let Some(key) = self.queue.pop() else { break };
+            let Some(key) = self.next_to_start(now) else { break };
             let Some(record) = self.records.get_mut(&key) else { continue };
-            if record.deadline <= now {
-                record.end_not_run(Refusal::not_run(ResultCode::DeadlinePassed), now);
-                actions.push(Action::Wake(key));
-                continue;
-            }
             if let Some(dispatch) = record.start() {
                 self.in_flight.add(&dispatch, now);
                 actions.push(Action::Start(dispatch));
@@ -290,4 +299,18 @@
         }
         actions
     }
+
+    /// Takes the first in the queue that may start now.
+    fn next_to_start(&mut self, now: Instant) -> Option<RequestKey> {
+        let busy = match self.in_flight.tier_in_prefill(&self.pace, now) {
+            Some(tier) if self.rules.single_prefill => tier,
+            _ => return self.queue.pop(),
+        };
+        let records = &self.records;
+        self.queue.pop_first(|key| {
+            let dispatch = records.get(key).and_then(|record| record.dispatch.as_deref());
+            dispatch
+                .is_none_or(|dispatch| dispatch.tier < busy || !in_flight::holds_prefill(dispatch))
+        })
+    }
 }
--- a/components/schedule/src/queue.rs
+++ b/components/schedule/src/queue.rs
@@ -1,4 +1,4 @@
-//! The order in which an agent hands over what waits: tiers first, then the nearest deadline.
+//! The order in which an agent hands over what waits: tiers first, then the least slack.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     tier: Tier,
-    deadline: Instant,
+    latest_start: Instant,
     arrival: u64,
 }
 
@@ -27,8 +27,8 @@
     }
 
     /// Adds a request.
-    pub fn push(&mut self, key: K, tier: Tier, deadline: Instant) {
-        let rank = Rank { tier, deadline, arrival: self.arrivals };
+    pub fn push(&mut self, key: K, tier: Tier, latest_start: Instant) {
+        let rank = Rank { tier, latest_start, arrival: self.arrivals };
         self.arrivals += 1;
         self.waiting.insert(rank, key);
     }
@@ -38,15 +38,21 @@
         self.waiting.pop_first().map(|(_, key)| key)
     }
 
+    /// Takes the first request that fits.
+    pub fn pop_first(&mut self, fits: impl Fn(&K) -> bool) -> Option<K> {
+        let rank = self.waiting.iter().find(|(_, key)| fits(key)).map(|(rank, _)| *rank)?;
+        self.waiting.remove(&rank)
+    }
+
     /// Takes a request out.
     pub fn remove(&mut self, key: &K) -> bool {
         let rank = self.waiting.iter().find(|(_, held)| *held == key).map(|(rank, _)| *rank);
         rank.is_some_and(|rank| self.waiting.remove(&rank).is_some())
     }
 
-    /// Takes out every request whose deadline has passed.
+    /// Takes out every request whose latest start has passed.
     pub fn take_overdue(&mut self, now: Instant) -> Vec<K> {
-        let overdue = self.waiting.extract_if(.., |rank, _| rank.deadline <= now);
+        let overdue = self.waiting.extract_if(.., |rank, _| rank.latest_start <= now);
         overdue.map(|(_, key)| key).collect()
     }
 
--- a/src/cmd/replay/cells.rs
+++ b/src/cmd/replay/cells.rs
@@ -16,6 +16,20 @@
     pub(super) report_age: Duration,
 }
 
+impl Cell {
+    /// The product with every rule on.
+    pub(super) fn options(&self, entries: usize, seed: u64) -> Options {
+        Options {
+            policy: Policy::Scheduler,
+            report_age: self.report_age,
+            entries,
+            placement_rules: PlacementRules::default(),
+            agent_rules: AgentRules::default(),
+            seed,
+        }
+    }
+}
+
 struct Shape {
     name: &'static str,
     load: f64,
@@ -86,17 +100,11 @@
 /// One thread for each policy; each replay is deterministic by itself.
 fn replay_all(cell: &Cell, entries: usize, seed: u64) -> Vec<(Policy, Figures)> {
     let run = |policy| {
-        let options = Options {
-            policy,
-            report_age: cell.report_age,
-            entries,
-            placement_rules: PlacementRules::default(),
-            agent_rules: match policy {
-                Policy::Scheduler => AgentRules::default(),
-                _ => AgentRules::OFF,
-            },
-            seed,
+        let agent_rules = match policy {
+            Policy::Scheduler => AgentRules::default(),
+            _ => AgentRules::OFF,
         };
+        let options = Options { policy, agent_rules, ..cell.options(entries, seed) };
         (policy, replay(&cell.trace, options))
     };
     std::thread::scope(|scope| {
--- a/src/cmd/replay/mod.rs
+++ b/src/cmd/replay/mod.rs
@@ -1,5 +1,6 @@
 //! `dragonflyfront-replay`: replays traces against the placement policies and prints tables.
 
+mod ablations;
 mod cells;
 
 use std::fs::File;
@@ -17,10 +18,10 @@
 dragonflyfront-replay: replays traces against the placement policies
 
 usage: dragonflyfront-replay FILE [--report-age-s N] [--entries N] [--seed N] [--json]
-       dragonflyfront-replay --cells [--only TEXT] [--duration-s N] [--seed N] [--json]
+       dragonflyfront-replay --cells [--only TEXT] [--duration-s N] [--seed N] [--json | --ablations]
        dragonflyfront-replay --write CELL FILE [--duration-s N] [--seed N]
 
---cells replays every generated cell; --write writes the trace of one cell to a file.
+--ablations switches each rule off in turn; --cells replays every generated cell; --write writes the trace of one cell to a file.
 
 example: dragonflyfront-replay --cells --only regie --duration-s 60 --seed 1";
 
@@ -31,6 +32,7 @@
         return Ok(());
     }
     let json = arguments.contains("--json");
+    let ablate = arguments.contains("--ablations");
     let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let duration_s = arguments.opt_value_from_str("--duration-s")?.unwrap_or(60);
     let only: String = arguments.opt_value_from_str("--only")?.unwrap_or_default();
@@ -50,6 +52,10 @@
     let unknown = arguments.finish();
     anyhow::ensure!(unknown.is_empty(), "unknown arguments: {unknown:?}; see --help");
     anyhow::ensure!(entries > 0, "--entries: given 0, allowed 1 or more");
+    if ablate {
+        ablations::print(&chosen, entries, seed);
+        return Ok(());
+    }
     cells::print(&chosen, entries, seed, json)
 }
 
