--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -251,6 +251,7 @@
     Ok(Response::json(200, &decisions))
 }
 
-fn unavailable(error: ReadError) -> Refusal {
+fn unavailable(error: impl Into<ReadError>) -> Refusal {
+    let error = error.into();
     Refusal::not_run(ResultCode::StoreUnavailable).with_message(error.to_string())
 }
