--- a/components/entry/examples/claim_cost.rs
+++ b/components/entry/examples/claim_cost.rs
@@ -72,6 +72,7 @@
         upstream: UpstreamId::new("desk"),
         adapter: UpstreamSettings::HttpService { address: service.address() },
         slots: 8,
+        peers: Vec::new(),
         log_level: "off".to_owned(),
     };
     let agent = Agent { settings, clock: clock.clone() }.spawn().await?;
@@ -85,6 +86,7 @@
             host_list: hosts.address(),
         },
         workers: 1,
+        peers: entry::PeerSettings::default(),
         log_level: "off".to_owned(),
     };
     let entry = Entry { settings, clock }.spawn().await?;
