Pass orders to an engine through the agent, fenced

Cause: the check of fencing tokens was a core without a way in.

Change: an RPC `Order` (load or unload a model) with token, agent process and time left; the agent's shell waits for the order in hand, checks, sends and ends each order whether or not its sender is there still.

Ruled out: cancelling the order with its RPC, which would let a newer order overtake one that the engine has.

--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets and tasks around the agent's core.
 
+mod orders;
 mod server;
 
 use std::collections::HashMap;
@@ -19,6 +20,7 @@
 use wire::{Dispatch, RequestKey};
 
 use crate::controllers::once::{self, Once};
+use crate::controllers::orders::Orders;
 use crate::core::{Action, Core, UpstreamEvent};
 use crate::upstream::{HttpEngine, HttpService, Upstream};
 use crate::{Settings, UpstreamSettings};
@@ -58,6 +60,7 @@
     clock: Arc<dyn Clock>,
     core: Mutex<Core>,
     once: Mutex<Once>,
+    orders: Mutex<Orders>,
     upstream: Arc<dyn Upstream>,
     wakers: Mutex<HashMap<RequestKey, watch::Sender<u64>>>,
     running: Mutex<HashMap<RequestKey, JoinHandle<()>>>,
@@ -80,6 +83,7 @@
         let process = ProcessId::random();
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
+            orders: Mutex::new(Orders::new(process.clone())),
             once: Mutex::new(Once::new(process.clone(), once::CAPACITY)),
             settings: self.settings,
             process,
@@ -126,6 +130,10 @@
         lock(&self.once)
     }
 
+    pub(crate) fn orders(&self) -> MutexGuard<'_, Orders> {
+        lock(&self.orders)
+    }
+
     /// A receiver that changes whenever the request's transcript may have grown.
     pub(crate) fn subscribe(&self, key: &RequestKey) -> watch::Receiver<u64> {
         let mut wakers = lock(&self.wakers);
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -9,9 +9,9 @@
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
-use wire::{AnswerEvent, Claim, Dispatch, RequestKey, v1};
+use wire::{AnswerEvent, Claim, Dispatch, Order, RequestKey, v1};
 
-use super::Shared;
+use super::{Shared, orders};
 use crate::controllers::once::{Admit, Settled};
 use crate::core::{Admission, Cursor, ReadStep, Settlement};
 
@@ -121,6 +121,16 @@
             load: Some(self.shared.core().load().into()),
         }))
     }
+
+    async fn order(
+        &self,
+        request: Request<v1::OrderRequest>,
+    ) -> Result<Response<v1::OrderReply>, Status> {
+        let order: Order = request.into_inner().try_into().map_err(invalid)?;
+        let result = orders::pass_on(self.shared.clone(), order).await;
+        let refused = result.err().map(|refusal| (&refusal).into());
+        Ok(Response::new(v1::OrderReply { refused }))
+    }
 }
 
 impl Rpc {
--- a/components/agent/src/upstream/mod.rs
+++ b/components/agent/src/upstream/mod.rs
@@ -4,8 +4,9 @@
 mod service;
 
 use async_trait::async_trait;
+use errors::Refusal;
 use tokio::sync::mpsc;
-use wire::{Dispatch, RequestKey};
+use wire::{Dispatch, Order, RequestKey};
 
 use crate::core::UpstreamEvent;
 
@@ -20,4 +21,7 @@
 
     /// Asks the upstream to stop working on a request.
     async fn abort(&self, key: &RequestKey);
+
+    /// Passes an order on and waits until the upstream has carried it out.
+    async fn order(&self, order: &Order) -> Result<(), Refusal>;
 }
--- a/components/agent/src/upstream/service.rs
+++ b/components/agent/src/upstream/service.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use errors::{Refusal, ResultCode};
 use tokio::sync::mpsc;
 use web::{Client, ClientError, Request};
-use wire::{Dispatch, RequestKey, Work};
+use wire::{Dispatch, Order, RequestKey, Work};
 
 use super::Upstream;
 use crate::core::UpstreamEvent;
@@ -46,6 +47,11 @@
     }
 
     async fn abort(&self, _key: &RequestKey) {}
+
+    async fn order(&self, _order: &Order) -> Result<(), Refusal> {
+        let refusal = Refusal::not_run(ResultCode::NotPermitted);
+        Err(refusal.with_message("A plain service takes no orders."))
+    }
 }
 
 /// Sends a request and passes on what comes back, as it comes.
--- a/components/wire/src/convert.rs
+++ b/components/wire/src/convert.rs
@@ -5,11 +5,13 @@
 
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{
-    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
+    ConfigVersion, CustomerId, DispatchEpoch, FencingToken, ModelId, ProcessId, RequestId,
+    ServiceId, Tier,
 };
 
 use crate::event::{
-    AnswerEvent, Claim, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work,
+    AnswerEvent, Claim, Command, Dispatch, LoadDigest, ModelCall, Order, RequestKey, ServiceCall,
+    Work,
 };
 use crate::v1;
 
@@ -139,6 +141,44 @@
     }
 }
 
+impl From<&Order> for v1::OrderRequest {
+    fn from(order: &Order) -> Self {
+        use v1::order_request::Order as Wire;
+        let command = match &order.command {
+            Command::LoadModel(model) => {
+                Wire::LoadModel(v1::LoadModel { model: model.as_str().to_owned() })
+            }
+            Command::UnloadModel(model) => {
+                Wire::UnloadModel(v1::UnloadModel { model: model.as_str().to_owned() })
+            }
+        };
+        v1::OrderRequest {
+            agent_process: order.agent_process.as_str().to_owned(),
+            fencing_token: order.token.0,
+            time_left_ms: order.time_left.as_millis() as u64,
+            order: Some(command),
+        }
+    }
+}
+
+impl TryFrom<v1::OrderRequest> for Order {
+    type Error = WireError;
+
+    fn try_from(request: v1::OrderRequest) -> Result<Self, WireError> {
+        use v1::order_request::Order as Wire;
+        let command = match request.order.ok_or(WireError::Missing("order"))? {
+            Wire::LoadModel(load) => Command::LoadModel(ModelId::new(load.model)),
+            Wire::UnloadModel(unload) => Command::UnloadModel(ModelId::new(unload.model)),
+        };
+        Ok(Order {
+            agent_process: ProcessId::new(request.agent_process),
+            token: FencingToken(request.fencing_token),
+            time_left: Duration::from_millis(request.time_left_ms),
+            command,
+        })
+    }
+}
+
 impl From<LoadDigest> for v1::LoadDigest {
     fn from(load: LoadDigest) -> Self {
         v1::LoadDigest {
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use errors::Refusal;
 use identity::{
-    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
+    ConfigVersion, CustomerId, DispatchEpoch, FencingToken, ModelId, ProcessId, RequestId,
+    ServiceId, Tier,
 };
 
 /// A request is known by its customer and its id together.
@@ -133,3 +134,25 @@
     /// There is no answer, or no more of it.
     Refused(Refusal),
 }
+
+/// An order to an engine, from the holder of a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The agent process that it is for.
+    pub agent_process: ProcessId,
+    /// Orders the holders of the lease.
+    pub token: FencingToken,
+    /// How long the sender may still act.
+    pub time_left: Duration,
+    /// What the engine is to do.
+    pub command: Command,
+}
+
+/// What an engine can be told to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Load a model.
+    LoadModel(ModelId),
+    /// Give up a model.
+    UnloadModel(ModelId),
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,5 +12,6 @@
 
 pub use convert::WireError;
 pub use event::{
-    AnswerEvent, Claim, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work,
+    AnswerEvent, Claim, Command, Dispatch, LoadDigest, ModelCall, Order, RequestKey, ServiceCall,
+    Work,
 };
