Add dragonflyctl, settings checked against their types, and bounds on the spread

Cause: operators had only raw HTTP; a fault of an address in a settings file named neither what was given nor what is allowed; a frozen listed process could hold a version up beyond 7 s.

A question to a holder of a newer version no longer waits for the usual question; peers count as silent after 0.25 s instead of 0.5 s.

--- a/components/configuration/src/sync/mod.rs
+++ b/components/configuration/src/sync/mod.rs
@@ -19,8 +19,11 @@
 /// How often each process asks.
 pub const ASK_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// How long a source may be silent; after that the caller of `Sync` reports a failure.
-pub const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a peer may be silent; after that the caller of `Sync` reports a failure.
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long the store may be silent.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// How long before another source is asked after one failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -89,7 +92,10 @@
     place: Place,
     relays: Vec<SocketAddr>,
     held: ConfigVersion,
+    /// The question that is asked at each interval, while it is open.
     asking: Option<Source>,
+    /// The question to whoever is known to hold a newer version, while it is open.
+    following: Option<Source>,
     ask_at: Instant,
     failures: u32,
     hints: VecDeque<(ConfigVersion, SocketAddr)>,
@@ -104,6 +110,7 @@
             relays: Vec::new(),
             held: ConfigVersion(0),
             asking: None,
+            following: None,
             ask_at: now,
             failures: 0,
             hints: VecDeque::new(),
@@ -137,16 +144,16 @@
         if version <= self.held {
             return;
         }
-        match holder {
-            Some(holder) if !self.hints.contains(&(version, holder)) => {
-                self.hints.push_back((version, holder));
-                if self.hints.len() > HINT_LIMIT {
-                    self.hints.pop_front();
-                }
-            }
-            _ => {}
+        let Some(holder) = holder else {
+            self.ask_at = self.ask_at.min(now + RETRY_INTERVAL);
+            return;
+        };
+        if !self.hints.contains(&(version, holder)) {
+            self.hints.push_back((version, holder));
+        }
+        if self.hints.len() > HINT_LIMIT {
+            self.hints.pop_front();
         }
-        self.ask_at = self.ask_at.min(now + RETRY_INTERVAL);
     }
 
     /// Tells the listed processes at once, by asking them with the new version.
@@ -161,7 +168,8 @@
 
     fn take_answer(&mut self, source: Source, version: ConfigVersion, now: Instant) {
         self.held = self.held.max(version);
-        if self.is_asking(source) {
+        self.end_following(source);
+        if self.asking == Some(source) {
             self.asking = None;
             self.failures = 0;
             self.ask_at = now + self.jittered(ASK_INTERVAL);
@@ -169,32 +177,48 @@
     }
 
     fn take_failure(&mut self, source: Source, now: Instant) {
-        if !self.is_asking(source) {
+        self.end_following(source);
+        if self.asking != Some(source) {
             return;
         }
         self.asking = None;
         self.failures += 1;
-        let quick = self.failures % QUICK_RETRIES != 0;
+        let quick = !self.failures.is_multiple_of(QUICK_RETRIES);
         let pause = if quick { RETRY_INTERVAL } else { ASK_INTERVAL };
         self.ask_at = now + self.jittered(pause);
     }
 
+    fn end_following(&mut self, source: Source) {
+        if self.following == Some(source) {
+            self.following = None;
+        }
+    }
+
     fn ask_if_due(&mut self, now: Instant) -> Next {
-        if self.asking.is_some() || now < self.ask_at {
-            return Next::Wait;
+        let mut questions = Vec::new();
+        if self.following.is_none() {
+            self.following = self.choose_holder();
+            questions.extend(self.following);
+        }
+        if self.asking.is_none() && now >= self.ask_at {
+            self.asking = self.choose_usual();
+            questions.extend(self.asking);
         }
-        let Some(source) = self.choose() else { return Next::Wait };
-        self.asking = Some(source);
-        Next::Ask(vec![source])
+        if questions.is_empty() { Next::Wait } else { Next::Ask(questions) }
     }
 
-    /// Whoever is known to hold a newer version, else the usual sources in turn.
-    fn choose(&mut self) -> Option<Source> {
+    /// Whoever is known to hold a newer version.
+    fn choose_holder(&mut self) -> Option<Source> {
         while let Some((version, holder)) = self.hints.pop_back() {
             if version > self.held && Some(holder) != self.place.own {
                 return Some(Source::Peer(holder));
             }
         }
+        None
+    }
+
+    /// The usual sources in turn.
+    fn choose_usual(&mut self) -> Option<Source> {
         let sources = self.sources();
         let turn = usize::try_from(self.failures).unwrap_or_default();
         sources.get(turn % sources.len().max(1)).copied()
@@ -224,10 +248,6 @@
         addresses.iter().copied().filter(|address| Some(*address) != self.place.own).collect()
     }
 
-    fn is_asking(&self, source: Source) -> bool {
-        self.asking == Some(source)
-    }
-
     fn jittered(&mut self, interval: Duration) -> Duration {
         interval * self.random.random_range(JITTER_PERCENT) / 100
     }
--- a/components/peers/src/ask.rs
+++ b/components/peers/src/ask.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, Result};
 use configuration::layout::Delta;
 use configuration::repository::{read_index, read_newer};
-use configuration::sync::{ASK_TIMEOUT, Source};
+use configuration::sync::{PEER_TIMEOUT, STORE_TIMEOUT, Source};
 use configuration::{Document, InForce, Offer, Snapshot};
 use identity::ConfigVersion;
 use log::{debug, info};
@@ -45,7 +45,7 @@
 
     async fn ask_store(&self) -> Result<()> {
         let store = self.store.as_ref().context("no store")?;
-        let found = timeout(ASK_TIMEOUT, read_index(&**store)).await??;
+        let found = timeout(STORE_TIMEOUT, read_index(&**store)).await??;
         let held = self.in_force.load();
         let Some((_, index)) = found else { return Ok(()) };
         if index.version <= self.in_force.version() {
@@ -59,7 +59,7 @@
     }
 
     async fn ask_peer(&self, address: SocketAddr) -> Result<()> {
-        let reply = self.fetch(address, false, ASK_TIMEOUT).await?;
+        let reply = self.fetch(address, false, PEER_TIMEOUT).await?;
         let Some(held) = self.lag_behind(&reply) else { return Ok(()) };
         let advanced = match held {
             Some(held) if !reply.deltas.is_empty() => advance(&held, &reply),
--- a/components/peers/src/connections.rs
+++ b/components/peers/src/connections.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use anyhow::Result;
-use configuration::sync::ASK_TIMEOUT;
+use configuration::sync::PEER_TIMEOUT;
 use tonic::transport::{Channel, Endpoint};
 use wire::v1::peer_client::PeerClient;
 
@@ -31,7 +31,7 @@
             return Ok(client.clone());
         }
         let channel = Endpoint::from_shared(format!("http://{address}"))?
-            .connect_timeout(ASK_TIMEOUT)
+            .connect_timeout(PEER_TIMEOUT)
             .tcp_nodelay(true)
             .connect_lazy();
         let client = PeerClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT_BYTES);
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,5 +1,8 @@
 //! Settings files: JSON, unknown keys refused, each fault named by file and path of the key.
 
+mod fault;
+mod table;
+
 use std::fs;
 use std::path::Path;
 
@@ -7,6 +10,8 @@
 use schemars::{JsonSchema, schema_for};
 use serde::de::DeserializeOwned;
 
+pub use table::render_table;
+
 /// Settings that can check themselves after they were read.
 pub trait Checked {
     /// Lists each fault as the path of the key, what was given and what is allowed.
@@ -25,7 +30,7 @@
     let deserializer = &mut serde_json::Deserializer::from_str(text);
     let settings: T = match serde_path_to_error::deserialize(deserializer) {
         Ok(settings) => settings,
-        Err(error) => bail!("{source}: {}: {}", error.path(), error.inner()),
+        Err(error) => bail!("{}", fault::explain(source, text, &error)),
     };
     let faults = settings.faults();
     if !faults.is_empty() {
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -23,7 +23,9 @@
     start_logs(&settings.log_level)?;
     build_runtime()?.block_on(async {
         let handle = Entry { settings, clock: Arc::new(SystemClock) }.spawn().await?;
-        println!("ready {} {}", handle.callers_address(), handle.operators_address());
+        let peers = handle.peers_address().map(|address| format!(" {address}"));
+        let (callers, operators) = (handle.callers_address(), handle.operators_address());
+        println!("ready {callers} {operators}{}", peers.unwrap_or_default());
         wait_for_stop().await?;
         handle.stop().await;
         Ok(())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each program.
 
 pub mod agent;
+pub mod ctl;
 pub mod demo;
 pub mod entry;
 pub mod standin;
