--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+mod claims;
 mod decisions;
 mod metrics;
 mod operators;
@@ -17,7 +18,7 @@
 use anyhow::{Context, Result};
 use clock::Clock;
 use configuration::InForce;
-use identity::UpstreamId;
+use identity::{ProcessId, UpstreamId};
 use log::info;
 use peers::{Peers, PeersHandle};
 use platform::{HostList, HttpHostList, HttpStore, KeyValueStore};
@@ -50,11 +51,13 @@
     callers: ServerHandle,
     operators: ServerHandle,
     refresher: JoinHandle<()>,
+    sweeper: JoinHandle<()>,
     peer_listener: Option<PeerListener>,
 }
 
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
+    pub(crate) process: ProcessId,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) store: Arc<dyn KeyValueStore>,
     pub(crate) host_list: Arc<dyn HostList>,
@@ -64,6 +67,7 @@
     pub(crate) decisions: decisions::Decisions,
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
+    pub(crate) agent_processes: claims::AgentProcesses,
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -98,6 +102,8 @@
             decisions: decisions::Decisions::default(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
+            agent_processes: claims::AgentProcesses::default(),
+            process: ProcessId::random(),
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -120,8 +126,9 @@
         .bind(Arc::new(operators::Operators::new(shared.clone(), runtime)))
         .context("operators_listen")?;
         let refresher = tokio::spawn(refresh::run(shared.clone()));
+        let sweeper = tokio::spawn(claims::sweep(shared.clone()));
         info!("entry listen={} operators={}", callers.address(), operators.address());
-        Ok(EntryHandle { shared, callers, operators, refresher, peer_listener })
+        Ok(EntryHandle { shared, callers, operators, refresher, sweeper, peer_listener })
     }
 }
 
@@ -149,6 +156,7 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
         self.refresher.abort();
+        self.sweeper.abort();
         self.shared.peers.stop();
         if let Some(peer_listener) = self.peer_listener {
             peer_listener.stop();
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -13,12 +13,15 @@
 use log::info;
 use platform::HostState;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 use tokio::runtime;
 use web::{Handler, Request, Response};
 
 use super::Shared;
 use super::callers::refuse;
+use super::claims::new_writer;
+use crate::controllers::claims::{Settlement, list_unsettled, settle_claim};
 use crate::controllers::configuration::submit;
 
 /// Records given where the query names no limit.
@@ -80,6 +83,8 @@
         ("GET", "/metrics") => Ok(Response::whole(200, "text/plain", shared.metrics.render())),
         ("GET", "/configuration") => configuration(shared).await,
         ("POST", "/configuration/patches") => patch(shared, &request).await,
+        ("GET", "/claims/unsettled") => unsettled(shared).await,
+        ("POST", "/claims/settlements") => settle(shared, &request).await,
         ("POST", "/configuration/checks") => check(shared, &request).await,
         ("GET", "/configuration/history") => history(shared, &request).await,
         ("GET", "/audit") => audit(shared, &request).await,
@@ -115,7 +120,7 @@
 }
 
 async fn patch(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
-    let submission = read_submission(request)?;
+    let submission: Submission = read_body(request)?;
     let held = shared.in_force.load();
     let wall = shared.clock.wall();
     let accepted =
@@ -130,7 +135,7 @@
 
 /// Says whether a patch would be accepted now; nothing is written.
 async fn check(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
-    let submission = read_submission(request)?;
+    let submission: Submission = read_body(request)?;
     let held = shared.in_force.load();
     let newer = read_newer(&*shared.store, held.as_deref()).await.map_err(unavailable)?;
     let newest = newer.map(Arc::new).or(held);
@@ -140,7 +145,7 @@
     Ok(Response::json(200, &json!({ "against_version": newest.version })))
 }
 
-fn read_submission(request: &Request) -> Result<Submission, Refusal> {
+fn read_body<T: DeserializeOwned>(request: &Request) -> Result<T, Refusal> {
     serde_json::from_slice(&request.body).map_err(|error| {
         Refusal::not_run(ResultCode::MalformedJson).with_message(error.to_string())
     })
@@ -194,6 +199,27 @@
     Ok(Response::json(200, &rows))
 }
 
+async fn unsettled(shared: &Shared) -> Result<Response, Refusal> {
+    let rows = list_unsettled(&*shared.store, shared.clock.wall()).await.map_err(unavailable)?;
+    Ok(Response::json(200, &rows))
+}
+
+async fn settle(shared: &Shared, request: &Request) -> Result<Response, Refusal> {
+    let settlement: Settlement = read_body(request)?;
+    let writer = new_writer(&shared.process);
+    let wall = shared.clock.wall();
+    let claim = settle_claim(&*shared.store, &settlement, writer, wall).await?;
+    info!(
+        "claim customer={} key={} settled as {} by {}: {}",
+        settlement.customer,
+        settlement.idempotency_key,
+        settlement.outcome.name(),
+        settlement.author,
+        settlement.reason
+    );
+    Ok(Response::json(200, &claim))
+}
+
 fn upstreams(shared: &Shared) -> Vec<UpstreamRow> {
     let Some(snapshot) = shared.in_force.load() else { return Vec::new() };
     let heard = shared.heard().clone();
@@ -225,6 +251,7 @@
     Ok(Response::json(200, &decisions))
 }
 
-fn unavailable(error: ReadError) -> Refusal {
+fn unavailable(error: impl Into<ReadError>) -> Refusal {
+    let error = error.into();
     Refusal::not_run(ResultCode::StoreUnavailable).with_message(error.to_string())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod ctl;
 pub mod demo;
 pub mod entry;
+pub mod replay;
 pub mod standin;
 
 use std::path::PathBuf;
