--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -10,8 +10,10 @@
 
 use anyhow::{Context, Result};
 use clock::Clock;
+use configuration::InForce;
 use identity::ProcessId;
 use log::{debug, info};
+use peers::{Peers, PeersHandle};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -62,6 +64,8 @@
     once: Mutex<Once>,
     orders: Mutex<Orders>,
     upstream: Arc<dyn Upstream>,
+    in_force: Arc<InForce>,
+    peers: PeersHandle,
     wakers: Mutex<HashMap<RequestKey, watch::Sender<u64>>>,
     running: Mutex<HashMap<RequestKey, JoinHandle<()>>>,
 }
@@ -81,6 +85,16 @@
             .with_context(|| format!("{}: cannot be bound", self.settings.listen))?;
         let address = listener.local_addr()?;
         let process = ProcessId::random();
+        let in_force = Arc::new(InForce::new());
+        let peers = Peers {
+            own: Some(address),
+            listed: self.settings.peers.clone(),
+            zone: self.settings.zone.clone(),
+            store: None,
+            in_force: in_force.clone(),
+            clock: self.clock.clone(),
+        }
+        .spawn();
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
             orders: Mutex::new(Orders::new(process.clone())),
@@ -89,6 +103,8 @@
             process,
             clock: self.clock,
             upstream,
+            in_force,
+            peers,
             wakers: Mutex::default(),
             running: Mutex::default(),
         });
@@ -118,6 +134,7 @@
         let _ = self.stop.send(true);
         let _ = self.server.await;
         self.ticker.abort();
+        self.shared.peers.stop();
     }
 }
 
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -32,9 +32,11 @@
     incoming: TcpIncoming,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let peer_service = shared.peers.service();
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
         .add_service(service)
+        .add_service(peer_service)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
         })
@@ -56,6 +58,7 @@
         let mut request = request.into_inner();
         let claim = request.claim.take().map(Claim::from);
         let dispatch: Dispatch = request.try_into().map_err(invalid)?;
+        self.shared.peers.hear(dispatch.config_version, None);
         let key = dispatch.key.clone();
         let admit = claim.map(|claim| self.shared.once().admit(&key, &claim));
         match admit {
@@ -117,7 +120,7 @@
         Ok(Response::new(v1::ReportReply {
             upstream: self.shared.settings.upstream.as_str().to_owned(),
             process: self.shared.process.as_str().to_owned(),
-            configuration_version: 0,
+            configuration_version: self.shared.in_force.version().0,
             load: Some(self.shared.core().load().into()),
         }))
     }
--- a/components/entry/tests/booking.rs
+++ b/components/entry/tests/booking.rs
@@ -65,6 +65,7 @@
         upstream: UpstreamId::new("desk"),
         adapter: UpstreamSettings::HttpService { address: service },
         slots: 8,
+        peers: Vec::new(),
         log_level: "off".to_owned(),
     };
     Agent { settings, clock: Arc::new(SystemClock) }.spawn().await.expect("agent")
@@ -78,6 +79,7 @@
         zone: ZoneId::new("riga-a"),
         platform,
         workers: 1,
+        peers: entry::PeerSettings::default(),
         log_level: "off".to_owned(),
     };
     Entry { settings, clock: Arc::new(SystemClock) }.spawn().await.expect("entry")
--- a/components/scenario/src/caller.rs
+++ b/components/scenario/src/caller.rs
@@ -1,11 +1,13 @@
 //! A caller: model requests and bookings, each followed in a task of its own.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use standin::engine::expected_text;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use web::{Client, Request};
@@ -84,6 +86,13 @@
     }
 }
 
+impl ModelRequest {
+    /// The text that an engine generates for it.
+    pub fn expected_text(&self) -> String {
+        expected_text(&self.text, self.tokens)
+    }
+}
+
 impl From<&ModelRequest> for Request {
     fn from(asked: &ModelRequest) -> Request {
         let key = if asked.key.is_empty() { key_of(&asked.customer) } else { asked.key.clone() };
@@ -133,6 +142,7 @@
 struct Followed {
     answer: Arc<Mutex<Answer>>,
     grown: watch::Receiver<bool>,
+    looked_at: AtomicBool,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -148,11 +158,15 @@
         client: Client,
         address: SocketAddr,
         request: Request,
+        expected: String,
     ) -> Pending {
-        let answer = Arc::new(Mutex::new(Answer::default()));
+        let answer = Arc::new(Mutex::new(Answer { expected, ..Answer::default() }));
         let (sender, grown) = watch::channel(false);
         let task = runtime.spawn(follow(client, address, request, answer.clone(), sender));
-        Pending { followed: Arc::new(Followed { answer, grown, task }), runtime: runtime.clone() }
+        Pending {
+            followed: Arc::new(Followed { answer, grown, looked_at: AtomicBool::new(false), task }),
+            runtime: runtime.clone(),
+        }
     }
 
     /// The answer as far as it came.
@@ -170,6 +184,11 @@
         self.so_far()
     }
 
+    /// Whether nobody asked this before, so that a trace shows an answer once.
+    pub(crate) fn is_first_look(&self) -> bool {
+        !self.followed.looked_at.swap(true, Ordering::Relaxed)
+    }
+
     /// Waits until so many tokens have come; false past the limit.
     pub fn wait_for_tokens(&self, tokens: usize, limit: Duration) -> bool {
         self.wait_until(limit, |answer| answer.tokens() >= tokens)
