Place by the settings' speeds and the batch, with stragglers cut down

Change: speeds of the settings, slowed by 3 % for each request there; where observed generation is under 0.3 of what the batch explains, both speeds are cut by that part. New cells: burst at twice capacity, and long answers with slots set four times too high. A straggler less than about three times slower is not found, nor are wrong settings below that.

--- a/components/replay/src/generate.rs
+++ b/components/replay/src/generate.rs
@@ -18,6 +18,9 @@
 /// Factor by which the straggler is slower.
 const STRAGGLER_FACTOR: u32 = 5;
 
+/// Factor for slots and for answers of lower tiers where answers are long.
+const LONG_ANSWERS_FACTOR: u32 = 4;
+
 /// A deployment of the users.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Deployment {
@@ -38,6 +41,8 @@
     Straggler,
     /// One availability zone is lost.
     ZoneLost,
+    /// Answers of lower tiers are four times as long, and operators allow four times the slots.
+    LongAnswers,
 }
 
 /// Lengths and deadline of a kind of request.
@@ -148,6 +153,9 @@
     let mix = deployment.mix();
     let end_us = u64::from(duration_s) * 1_000_000;
     let mut trace = Trace { upstreams: deployment.upstreams(), ..Trace::default() };
+    if trouble == Trouble::LongAnswers {
+        trace.upstreams.iter_mut().for_each(|upstream| upstream.slots *= LONG_ANSWERS_FACTOR);
+    }
     let mut at_us = 0;
     loop {
         let in_burst = trouble == Trouble::Burst && (end_us / 3..end_us / 2).contains(&at_us);
@@ -157,7 +165,13 @@
         if at_us >= end_us {
             break;
         }
-        trace.requests.push(draw_request(&mut random, &mix, at_us));
+        let mut request = draw_request(&mut random, &mix, at_us);
+        if trouble == Trouble::LongAnswers && request.tier > 0 && !request.service {
+            request.tokens *= LONG_ANSWERS_FACTOR;
+            request.max_tokens *= LONG_ANSWERS_FACTOR;
+            request.deadline_ms *= u64::from(LONG_ANSWERS_FACTOR);
+        }
+        trace.requests.push(request);
     }
     trace.faults.extend(fault(trouble, end_us / 3));
     trace
@@ -167,7 +181,7 @@
     let what = match trouble {
         Trouble::Straggler => FaultKind::Straggler { upstream: 3, factor: STRAGGLER_FACTOR },
         Trouble::ZoneLost => FaultKind::ZoneLost { zone: 1 },
-        Trouble::None | Trouble::Burst => return None,
+        Trouble::None | Trouble::Burst | Trouble::LongAnswers => return None,
     };
     Some(Fault { at_us, what })
 }
--- a/components/schedule/src/placement.rs
+++ b/components/schedule/src/placement.rs
@@ -16,6 +16,10 @@
 /// How much each further request slows the generation of the others.
 const SLOWDOWN_PER_REQUEST: f64 = 0.03;
 
+/// Part of the expected speed of generation below which an upstream is a straggler; prefill beside
+/// generation alone may halve it.
+const STRAGGLER_PART: f64 = 0.3;
+
 /// Finishes this much later than the best count as equal, in parts of the best.
 const NEAR_BEST: f64 = 0.15;
 
@@ -24,8 +28,8 @@
 pub struct PlacementRules {
     /// Reports are corrected by own placements since and by the time that has passed.
     pub correct_reports: bool,
-    /// Speeds are those that agents observed, not those of the settings.
-    pub learned_speeds: bool,
+    /// Upstreams that are observed to be much slower than their settings count as slow.
+    pub stragglers: bool,
     /// One of the near-best upstreams is drawn, so that entries do not all choose the same.
     pub spread: bool,
     /// Prompts return to where their start is cached.
@@ -34,12 +38,7 @@
 
 impl Default for PlacementRules {
     fn default() -> Self {
-        PlacementRules {
-            correct_reports: true,
-            learned_speeds: true,
-            spread: true,
-            prefix_home: true,
-        }
+        PlacementRules { correct_reports: true, stragglers: true, spread: true, prefix_home: true }
     }
 }
 
@@ -162,8 +161,8 @@
             _ => Duration::ZERO,
         };
         let mut speed = candidate.speed;
-        if self.rules.learned_speeds {
-            speed = learned(speed, load);
+        if self.rules.stragglers {
+            speed = observed_speed(speed, load);
         }
         let limit = if load.limit == 0 { candidate.slots } else { load.limit }.max(1);
         let reported = load.queued + load.running;
@@ -178,8 +177,7 @@
         };
         let reported_left = (f64::from(reported) * left).ceil() as u32;
         let requests = candidate.own_outstanding.max(reported_left + unreported.requests);
-        let more = f64::from(requests) - f64::from(load.running);
-        let slowdown = (1.0 + SLOWDOWN_PER_REQUEST * more).max(0.5);
+        let slowdown = 1.0 + SLOWDOWN_PER_REQUEST * f64::from(requests);
         speed.decode_tokens_per_s = (f64::from(speed.decode_tokens_per_s) / slowdown) as u32;
         Work {
             speed,
@@ -214,11 +212,20 @@
     }
 }
 
-fn learned(settings: Speed, load: LoadDigest) -> Speed {
-    let or = |observed: u32, given: u32| if observed == 0 { given } else { observed };
+/// The speeds of the settings, cut down where generation is observed to be much slower than the
+/// batch explains: then the upstream is a straggler, in prefill as well.
+fn observed_speed(settings: Speed, load: LoadDigest) -> Speed {
+    let observed = f64::from(load.decode_tokens_per_s);
+    let alone = f64::from(settings.decode_tokens_per_s);
+    let expected = alone / (1.0 + SLOWDOWN_PER_REQUEST * f64::from(load.running));
+    let part = observed / expected;
+    if observed == 0.0 || part > STRAGGLER_PART {
+        return settings;
+    }
+    let cut = |speed: u32| (f64::from(speed) * part) as u32;
     Speed {
-        prefill_tokens_per_s: or(load.prefill_tokens_per_s, settings.prefill_tokens_per_s),
-        decode_tokens_per_s: or(load.decode_tokens_per_s, settings.decode_tokens_per_s),
+        prefill_tokens_per_s: cut(settings.prefill_tokens_per_s),
+        decode_tokens_per_s: cut(settings.decode_tokens_per_s),
     }
 }
 
--- a/src/cmd/replay/ablations.rs
+++ b/src/cmd/replay/ablations.rs
@@ -9,7 +9,7 @@
 const RULES: [(&str, Switch); 9] = [
     ("none off", |_| {}),
     ("correct_reports", |options| options.placement_rules.correct_reports = false),
-    ("learned_speeds", |options| options.placement_rules.learned_speeds = false),
+    ("stragglers", |options| options.placement_rules.stragglers = false),
     ("spread", |options| options.placement_rules.spread = false),
     ("prefix_home", |options| options.placement_rules.prefix_home = false),
     ("preempt", |options| options.agent_rules.preempt = false),
--- a/src/cmd/replay/cells.rs
+++ b/src/cmd/replay/cells.rs
@@ -37,7 +37,7 @@
     report_age_s: u64,
 }
 
-const SHAPES: [Shape; 9] = [
+const SHAPES: [Shape; 11] = [
     shape("0.7", 0.7, Trouble::None, 1),
     shape("1.0", 1.0, Trouble::None, 1),
     shape("1.5", 1.5, Trouble::None, 1),
@@ -46,6 +46,8 @@
     shape("1.0-age10", 1.0, Trouble::None, 10),
     shape("0.7-burst", 0.7, Trouble::Burst, 1),
     shape("0.7-straggler", 0.7, Trouble::Straggler, 1),
+    shape("2.0-burst", 2.0, Trouble::Burst, 1),
+    shape("2.0-long-answers", 2.0, Trouble::LongAnswers, 1),
     shape("0.7-zone-lost", 0.7, Trouble::ZoneLost, 1),
 ];
 
