--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! One module for each program.
 
 pub mod agent;
+pub mod ctl;
 pub mod demo;
 pub mod entry;
+pub mod replay;
 pub mod standin;
 
 use std::path::PathBuf;
