--- a/components/scenario/src/fleet/mod.rs
+++ b/components/scenario/src/fleet/mod.rs
@@ -63,6 +63,7 @@
     commands: BTreeMap<String, Command>,
     addresses: BTreeMap<String, SocketAddr>,
     operators: BTreeMap<String, SocketAddr>,
+    peers: BTreeMap<String, SocketAddr>,
     plan: Plan,
     programs: Programs,
     client: Client,
--- a/components/scenario/src/fleet/start.rs
+++ b/components/scenario/src/fleet/start.rs
@@ -1,7 +1,7 @@
 //! Starts the processes of a plan, in the order in which they need each other's addresses.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -36,6 +36,7 @@
             commands: BTreeMap::new(),
             addresses: BTreeMap::new(),
             operators: BTreeMap::new(),
+            peers: reserve_peers(&plan)?,
             plan,
             programs,
             client: Client::spawn()?,
@@ -104,7 +105,8 @@
     ) -> Result<()> {
         let name = format!("agent {upstream}");
         let settings = json!({ "listen": "127.0.0.1:0", "host": upstream, "zone": zone,
-            "upstream": upstream, "adapter": adapter, "slots": slots });
+            "upstream": upstream, "adapter": adapter, "slots": slots,
+            "peers": self.listed() });
         let addresses = self.start_with_settings(&name, &self.programs.agent.clone(), settings)?;
         let address = *addresses.first().context("an agent prints one address")?;
         self.add_link(&format!("to {upstream}"), address)
@@ -118,7 +120,8 @@
             let platform = json!({ "http": {
                 "store": self.link(&link)?.address(), "host_list": self.address(HOSTS)? } });
             let settings = json!({ "listen": "127.0.0.1:0", "operators_listen": "127.0.0.1:0",
-                "host": name, "zone": zone, "platform": platform });
+                "host": name, "zone": zone, "platform": platform,
+                "peers": { "listen": self.peers.get(&name), "listed": self.listed() } });
             let program = self.programs.entry.clone();
             let addresses = self.start_with_settings(&name, &program, settings)?;
             let operators = *addresses.get(1).context("an entry prints two addresses")?;
@@ -127,6 +130,11 @@
         Ok(())
     }
 
+    /// Where processes get the configuration from each other.
+    fn listed(&self) -> Vec<SocketAddr> {
+        self.peers.values().copied().collect()
+    }
+
     fn start_standin(&mut self, name: &str, arguments: &[String]) -> Result<()> {
         let program = self.programs.standin.clone();
         let addresses = self.start(name, &program, arguments.to_vec())?;
@@ -202,3 +210,15 @@
         self.plan.entries.keys().next().cloned().context("a fleet has an entry process or more")
     }
 }
+
+/// Takes a free port for the peers' listener of each entry process: every process has to be told
+/// of all of them before any of them runs.
+fn reserve_peers(plan: &Plan) -> Result<BTreeMap<String, SocketAddr>> {
+    let listeners: Vec<TcpListener> = plan
+        .entries
+        .keys()
+        .map(|_| TcpListener::bind(("127.0.0.1", 0)))
+        .collect::<Result<_, _>>()?;
+    let addresses = listeners.iter().map(TcpListener::local_addr);
+    plan.entries.keys().cloned().zip(addresses).map(|(name, found)| Ok((name, found?))).collect()
+}
