--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! The agent's decisions: what waits, what runs, what was refused, and what each reader is due.
 
+mod held;
 mod record;
 mod transcript;
 
@@ -7,19 +8,28 @@
 use std::time::{Duration, Instant};
 
 use errors::{Outcome, Refusal, ResultCode};
-use identity::Tier;
+use identity::{DispatchEpoch, Tier};
 use schedule::queue::Queue;
 use wire::{Dispatch, LoadDigest, RequestKey, Work};
 
+use held::HeldAnswers;
+pub use held::HeldLimits;
 use record::{Record, State};
 pub use transcript::{Cursor, ReadStep};
 
 /// How long the answer of a finished request is held for a caller who asks again.
 const KEEP_FINISHED: Duration = Duration::from_secs(120);
 
-/// How long a withdrawal is remembered; longer than a message can be on its way.
+/// How long the end of a request is remembered; longer than a message can be on its way and than
+/// any deadline.
 const KEEP_WITHDRAWN: Duration = Duration::from_secs(900);
 
+/// How long a model request goes on while nobody reads its answer.
+const KEEP_UNREAD: Duration = Duration::from_secs(10);
+
+/// Longest answer that is held.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
 /// When a caller may come back after a refusal of work that had no time left here.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -86,18 +96,33 @@
     leaving: bool,
     queue: Queue<RequestKey>,
     records: HashMap<RequestKey, Record>,
+    held: HeldAnswers,
 }
 
 impl Core {
     /// An agent that hands over at most `limit` requests at once.
     pub fn new(limit: u32) -> Core {
-        Core { limit, running: 0, leaving: false, queue: Queue::new(), records: HashMap::new() }
+        Core::with_held_limits(limit, HeldLimits::default())
+    }
+
+    /// The same with bounds of its own on the answers that are held.
+    pub fn with_held_limits(limit: u32, held: HeldLimits) -> Core {
+        Core {
+            limit,
+            running: 0,
+            leaving: false,
+            queue: Queue::new(),
+            records: HashMap::new(),
+            held: HeldAnswers::new(held),
+        }
     }
 
     /// Takes a request, or says why not.
     pub fn dispatch(&mut self, dispatch: Dispatch, now: Instant) -> (Admission, Vec<Action>) {
-        if let Some(record) = self.records.get(&dispatch.key) {
-            return (record.admit_again(), Vec::new());
+        if let Some(record) = self.records.get(&dispatch.key)
+            && !record.gives_way_to(dispatch.epoch)
+        {
+            return (record.admit_again(dispatch.epoch), Vec::new());
         }
         if self.leaving {
             let refusal = Refusal::not_run(ResultCode::Draining).with_retry_after(RETRY_AFTER);
@@ -106,7 +131,7 @@
         let deadline = now + dispatch.time_left;
         let key = dispatch.key.clone();
         self.queue.push(key.clone(), dispatch.tier, deadline);
-        self.records.insert(key, Record::queued(dispatch, deadline));
+        self.records.insert(key, Record::queued(dispatch, deadline, now));
         (Admission::Held, self.fill(now))
     }
 
@@ -122,44 +147,115 @@
             return Vec::new();
         }
         let mut actions = vec![Action::Wake(key.clone())];
+        let is_data = matches!(event, UpstreamEvent::Data(_));
         if record.take_upstream_event(event, now) {
+            if is_data {
+                actions.push(Action::Abort(key.clone()));
+            }
             self.running -= 1;
+            self.hold(key, now);
             actions.extend(self.fill(now));
         }
         actions
     }
 
-    /// Says what became of a request; one never seen is refused from now on.
-    pub fn settle(&mut self, key: &RequestKey, now: Instant) -> Settlement {
+    /// Says what became of a request; a dispatch never seen is refused from now on.
+    pub fn settle(&mut self, key: &RequestKey, epoch: DispatchEpoch, now: Instant) -> Settlement {
         match self.records.get(key) {
-            Some(record) => record.settlement(),
-            None => {
-                self.records.insert(key.clone(), Record::withdrawn(now));
+            Some(record) if record.epoch > epoch => Settlement::NotRun,
+            Some(record) if !record.gives_way_to(epoch) => record.settlement(),
+            _ => {
+                self.records.insert(key.clone(), Record::withdrawn(epoch, now));
                 Settlement::Withdrawn
             }
         }
     }
 
-    /// Ends a request whose caller is gone.
-    pub fn cancel(&mut self, key: &RequestKey, now: Instant) -> Vec<Action> {
-        let Some(record) = self.records.get_mut(key) else { return Vec::new() };
-        match record.state {
-            State::Queued => {
-                record.end_not_run(Refusal::not_run(ResultCode::Withdrawn), now);
-                self.queue.remove(key);
-                vec![Action::Wake(key.clone())]
-            }
-            State::Running if record.is_model() => {
-                record.end(Refusal::new(ResultCode::Withdrawn, Outcome::Ran), now);
-                self.running -= 1;
-                let mut actions = vec![Action::Abort(key.clone()), Action::Wake(key.clone())];
-                actions.extend(self.fill(now));
-                actions
-            }
+    /// Ends a request whose caller is gone, and says how far it had come.
+    pub fn cancel(
+        &mut self,
+        key: &RequestKey,
+        epoch: DispatchEpoch,
+        now: Instant,
+    ) -> (Settlement, Vec<Action>) {
+        let settlement = self.settle(key, epoch, now);
+        let actions = match settlement {
+            Settlement::Queued => self.cancel_queued(key, now),
+            Settlement::Running => self.cancel_running(key, now),
             _ => Vec::new(),
+        };
+        (settlement, actions)
+    }
+
+    fn cancel_queued(&mut self, key: &RequestKey, now: Instant) -> Vec<Action> {
+        let Some(record) = self.records.get_mut(key) else { return Vec::new() };
+        record.end_not_run(Refusal::not_run(ResultCode::Withdrawn), now);
+        self.queue.remove(key);
+        vec![Action::Wake(key.clone())]
+    }
+
+    fn cancel_running(&mut self, key: &RequestKey, now: Instant) -> Vec<Action> {
+        let Some(record) = self.records.get_mut(key) else { return Vec::new() };
+        if !record.is_model() {
+            return Vec::new();
+        }
+        record.end(Refusal::new(ResultCode::Withdrawn, Outcome::Ran), now);
+        self.running -= 1;
+        self.hold(key, now);
+        let mut actions = vec![Action::Abort(key.clone()), Action::Wake(key.clone())];
+        actions.extend(self.fill(now));
+        actions
+    }
+
+    /// Notes that somebody reads the answer of a request.
+    pub fn join_reader(&mut self, key: &RequestKey) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.readers.join();
+        }
+    }
+
+    /// Notes that a reader went away.
+    pub fn leave_reader(&mut self, key: &RequestKey, now: Instant) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.readers.leave(now);
+        }
+    }
+
+    /// Counts a finished answer as held; the oldest give way to it.
+    fn hold(&mut self, key: &RequestKey, now: Instant) {
+        let Some(record) = self.records.get(key) else { return };
+        self.held.add(key.clone(), record.transcript.len_bytes(), now);
+        let records = &self.records;
+        let is_read = |key: &RequestKey| records.get(key).is_some_and(|r| r.readers.are_there());
+        for evicted in self.held.take_surplus(is_read) {
+            self.evict(&evicted);
         }
     }
 
+    fn evict(&mut self, key: &RequestKey) {
+        if let Some(record) = self.records.get_mut(key)
+            && record.state == State::Finished
+        {
+            record.transcript.evict();
+        }
+    }
+
+    /// Model requests whose answer nobody has read for long.
+    fn cancel_unread(&mut self, now: Instant) -> Vec<Action> {
+        let unread: Vec<RequestKey> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_model() && record.readers.are_gone(now))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let cancelled = unread.iter().flat_map(|key| match self.records[key].state {
+            State::Queued => self.cancel_queued(key, now),
+            State::Running => self.cancel_running(key, now),
+            _ => Vec::new(),
+        });
+        cancelled.collect()
+    }
+
     /// Does what time brings: overdue requests are answered, old answers dropped.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -169,6 +265,10 @@
                 actions.push(Action::Wake(key));
             }
         }
+        actions.extend(self.cancel_unread(now));
+        for key in self.held.take_expired(now) {
+            self.evict(&key);
+        }
         self.records.retain(|_, record| !record.is_expired(now));
         actions
     }
@@ -187,14 +287,19 @@
         actions
     }
 
-    /// What a reader of a request is due next.
-    pub fn read(&self, key: &RequestKey, cursor: &mut Cursor) -> ReadStep {
+    /// What a reader of a dispatch is due next; nothing where another dispatch is held.
+    pub fn read(&self, key: &RequestKey, epoch: DispatchEpoch, cursor: &mut Cursor) -> ReadStep {
         match self.records.get(key) {
-            Some(record) => record.transcript.read(cursor),
-            None => ReadStep::End,
+            Some(record) if record.epoch == epoch => record.transcript.read(cursor),
+            _ => ReadStep::End,
         }
     }
 
+    /// The epoch of the dispatch that is held.
+    pub fn epoch_of(&self, key: &RequestKey) -> Option<DispatchEpoch> {
+        self.records.get(key).map(|record| record.epoch)
+    }
+
     /// Whether the request has been handed to the upstream.
     pub fn is_handed_over(&self, key: &RequestKey) -> bool {
         self.records.get(key).is_some_and(|record| record.state == State::Running)
--- a/components/agent/src/core/record.rs
+++ b/components/agent/src/core/record.rs
@@ -3,10 +3,13 @@
 use std::time::Instant;
 
 use errors::{Outcome, Refusal, ResultCode};
+use identity::DispatchEpoch;
 use wire::{Dispatch, Work};
 
 use super::transcript::Transcript;
-use super::{Admission, KEEP_FINISHED, KEEP_WITHDRAWN, Settlement, UpstreamEvent};
+use super::{
+    ANSWER_LIMIT_BYTES, Admission, KEEP_UNREAD, KEEP_WITHDRAWN, Settlement, UpstreamEvent,
+};
 
 /// How far a request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,28 +30,60 @@
 pub(super) struct Record {
     pub(super) state: State,
     pub(super) dispatch: Option<Box<Dispatch>>,
+    pub(super) epoch: DispatchEpoch,
     pub(super) deadline: Instant,
     pub(super) transcript: Transcript,
+    pub(super) readers: Readers,
     ended_at: Option<Instant>,
 }
 
+/// Who reads the answer.
+#[derive(Debug)]
+pub(super) struct Readers {
+    count: u32,
+    none_since: Instant,
+}
+
+impl Readers {
+    pub(super) fn join(&mut self) {
+        self.count += 1;
+    }
+
+    pub(super) fn leave(&mut self, now: Instant) {
+        self.count = self.count.saturating_sub(1);
+        self.none_since = now;
+    }
+
+    pub(super) fn are_there(&self) -> bool {
+        self.count > 0
+    }
+
+    pub(super) fn are_gone(&self, now: Instant) -> bool {
+        self.count == 0 && now.saturating_duration_since(self.none_since) > KEEP_UNREAD
+    }
+}
+
 impl Record {
-    pub(super) fn queued(dispatch: Dispatch, deadline: Instant) -> Record {
+    pub(super) fn queued(dispatch: Dispatch, deadline: Instant, now: Instant) -> Record {
         Record {
             state: State::Queued,
+            epoch: dispatch.epoch,
             dispatch: Some(Box::new(dispatch)),
             deadline,
             transcript: Transcript::default(),
+            readers: Readers { count: 0, none_since: now },
             ended_at: None,
         }
     }
 
-    pub(super) fn withdrawn(now: Instant) -> Record {
+    pub(super) fn withdrawn(epoch: DispatchEpoch, now: Instant) -> Record {
         let mut record = Record {
             state: State::Withdrawn,
             dispatch: None,
+            epoch,
             deadline: now,
             transcript: Transcript::default(),
+            readers: Readers { count: 0, none_since: now },
             ended_at: Some(now),
         };
         record.transcript.refuse(Refusal::not_run(ResultCode::Withdrawn));
@@ -56,8 +91,9 @@
     }
 
     /// Answers a second hand-over of the same request.
-    pub(super) fn admit_again(&self) -> Admission {
+    pub(super) fn admit_again(&self, epoch: DispatchEpoch) -> Admission {
         match self.state {
+            _ if epoch < self.epoch => Admission::Refused(Refusal::not_run(ResultCode::Withdrawn)),
             State::Queued | State::Running | State::Finished => Admission::Held,
             State::NotRun | State::Withdrawn => {
                 Admission::Refused(Refusal::not_run(ResultCode::Withdrawn))
@@ -65,6 +101,11 @@
         }
     }
 
+    /// Whether a dispatch of this epoch may take the place of the record: nothing of it ever ran.
+    pub(super) fn gives_way_to(&self, epoch: DispatchEpoch) -> bool {
+        matches!(self.state, State::NotRun | State::Withdrawn) && epoch > self.epoch
+    }
+
     pub(super) fn settlement(&self) -> Settlement {
         match self.state {
             State::Queued => Settlement::Queued,
@@ -92,6 +133,13 @@
                 self.transcript.start(status, content_type);
                 false
             }
+            UpstreamEvent::Data(bytes)
+                if self.transcript.len_bytes() + bytes.len() > ANSWER_LIMIT_BYTES =>
+            {
+                let refusal = Refusal::new(ResultCode::UpstreamFailed, self.failed_outcome());
+                self.end(refusal.with_message("The answer is too long."), now);
+                true
+            }
             UpstreamEvent::Data(bytes) => {
                 self.transcript.append(&bytes);
                 false
@@ -109,14 +157,17 @@
                 true
             }
             UpstreamEvent::Failed(reason) => {
-                let outcome = if self.is_model() { Outcome::Ran } else { Outcome::Unknown };
-                let refusal = Refusal::new(ResultCode::UpstreamFailed, outcome);
+                let refusal = Refusal::new(ResultCode::UpstreamFailed, self.failed_outcome());
                 self.end(refusal.with_message(reason), now);
                 true
             }
         }
     }
 
+    fn failed_outcome(&self) -> Outcome {
+        if self.is_model() { Outcome::Ran } else { Outcome::Unknown }
+    }
+
     /// Ends a request that was handed over.
     pub(super) fn end(&mut self, refusal: Refusal, now: Instant) {
         self.transcript.refuse(refusal);
@@ -130,15 +181,12 @@
     }
 
     pub(super) fn is_expired(&self, now: Instant) -> bool {
-        let keep = match self.state {
-            State::Withdrawn | State::NotRun => KEEP_WITHDRAWN,
-            _ => KEEP_FINISHED,
-        };
-        self.ended_at.is_some_and(|ended_at| now.duration_since(ended_at) > keep)
+        self.ended_at.is_some_and(|ended_at| now.duration_since(ended_at) > KEEP_WITHDRAWN)
     }
 
     fn close(&mut self, state: State, now: Instant) {
         self.state = state;
+        self.dispatch = None;
         self.ended_at = Some(now);
     }
 }
--- a/components/agent/src/core/transcript.rs
+++ b/components/agent/src/core/transcript.rs
@@ -1,7 +1,7 @@
 //! The answer of a request as it grows; read by any number of readers, each from its own offset.
 
 use bytes::Bytes;
-use errors::Refusal;
+use errors::{Outcome, Refusal, ResultCode};
 use wire::AnswerEvent;
 
 /// Largest piece that a reader gets at once.
@@ -63,6 +63,19 @@
         self.end = Some(End::Refused(refusal));
     }
 
+    /// Bytes held.
+    pub(super) fn len_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Gives the bytes up; a reader that still needs them is told so.
+    pub(super) fn evict(&mut self) {
+        self.bytes = Vec::new();
+        if matches!(self.end, Some(End::Whole)) {
+            self.end = Some(End::Refused(Refusal::new(ResultCode::AlreadyRan, Outcome::Ran)));
+        }
+    }
+
     pub(super) fn read(&self, cursor: &mut Cursor) -> ReadStep {
         if cursor.ended {
             return ReadStep::End;
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -31,6 +31,9 @@
 /// How long readers get to take the last of their answers after the work is done.
 const READER_GRACE: Duration = Duration::from_millis(300);
 
+/// How long an upstream may work on a request past its deadline.
+const OVERTIME: Duration = Duration::from_secs(5);
+
 /// Events of one request that wait for the core.
 const EVENT_QUEUE: usize = 64;
 
@@ -178,7 +181,10 @@
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     let key = dispatch.key.clone();
     let upstream = shared.upstream.clone();
-    let call = async move { upstream.start(&dispatch, sender).await };
+    let limit = dispatch.time_left + OVERTIME;
+    let call = async move {
+        let _ = tokio::time::timeout(limit, upstream.start(&dispatch, sender)).await;
+    };
     let take = async {
         while let Some(event) = events.recv().await {
             let actions = shared.core().on_upstream(&key, event, shared.clock.now());
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use errors::{Refusal, ResultCode};
+use identity::DispatchEpoch;
 use log::warn;
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
-use wire::{AnswerEvent, Dispatch, RequestKey, v1};
+use wire::{AnswerEvent, Dispatch, Envelope, RequestKey, v1};
 
 use super::Shared;
 use crate::core::{Admission, Cursor, ReadStep, Settlement};
@@ -19,6 +21,12 @@
 /// How long a stream may be silent before the agent says that it is alive.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How often a connection without traffic is tried.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long the other end may take to answer that before the connection is dropped.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
 type EventStream = ReceiverStream<Result<v1::DispatchEvent, Status>>;
 
 struct Rpc {
@@ -33,6 +41,8 @@
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
         .tcp_nodelay(true)
+        .http2_keepalive_interval(Some(PING_INTERVAL))
+        .http2_keepalive_timeout(Some(PING_TIMEOUT))
         .add_service(service)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
@@ -53,12 +63,16 @@
         request: Request<v1::DispatchRequest>,
     ) -> Result<Response<EventStream>, Status> {
         let dispatch: Dispatch = request.into_inner().try_into().map_err(invalid)?;
-        let key = dispatch.key.clone();
+        let (key, epoch) = (dispatch.key.clone(), dispatch.epoch);
+        if dispatch.process.as_ref().is_some_and(|process| *process != self.shared.process) {
+            let refusal = Refusal::not_run(ResultCode::NoUpstream);
+            return Ok(Response::new(self.refuse(&key, epoch, refusal)));
+        }
         let (admission, actions) = self.shared.core().dispatch(dispatch, self.shared.clock.now());
         self.shared.perform(actions);
         let stream = match admission {
-            Admission::Held => self.read_from(key, 0),
-            Admission::Refused(refusal) => self.say(&key, &AnswerEvent::Refused(refusal)).await,
+            Admission::Held => self.read_held(key, 0)?,
+            Admission::Refused(refusal) => self.refuse(&key, epoch, refusal),
         };
         Ok(Response::new(stream))
     }
@@ -69,21 +83,24 @@
     ) -> Result<Response<EventStream>, Status> {
         let request = request.into_inner();
         let key = required_key(request.key)?;
-        Ok(Response::new(self.read_from(key, request.offset_bytes)))
+        let held = self.shared.core().epoch_of(&key);
+        if held != Some(DispatchEpoch(request.dispatch_epoch)) {
+            return Err(Status::not_found("this dispatch is not held"));
+        }
+        Ok(Response::new(self.read_held(key, request.offset_bytes)?))
     }
 
     async fn settle(
         &self,
         request: Request<v1::SettleRequest>,
     ) -> Result<Response<v1::SettleReply>, Status> {
-        let key = required_key(request.into_inner().key)?;
-        let settlement = self.shared.core().settle(&key, self.shared.clock.now());
-        let state = match settlement {
-            Settlement::Withdrawn => v1::RequestState::Withdrawn,
-            Settlement::Queued => v1::RequestState::Queued,
-            Settlement::Running => v1::RequestState::Running,
-            Settlement::Finished => v1::RequestState::Finished,
-            Settlement::NotRun => v1::RequestState::NotRun,
+        let request = request.into_inner();
+        let key = required_key(request.key)?;
+        let state = if self.is_other_process(&request.process) {
+            v1::RequestState::OtherProcess
+        } else {
+            let epoch = DispatchEpoch(request.dispatch_epoch);
+            state_of(self.shared.core().settle(&key, epoch, self.shared.clock.now()))
         };
         Ok(Response::new(v1::SettleReply { state: state.into() }))
     }
@@ -92,10 +109,16 @@
         &self,
         request: Request<v1::CancelRequest>,
     ) -> Result<Response<v1::CancelReply>, Status> {
-        let key = required_key(request.into_inner().key)?;
-        let actions = self.shared.core().cancel(&key, self.shared.clock.now());
+        let request = request.into_inner();
+        let key = required_key(request.key)?;
+        if self.is_other_process(&request.process) {
+            let state = v1::RequestState::OtherProcess.into();
+            return Ok(Response::new(v1::CancelReply { state }));
+        }
+        let epoch = DispatchEpoch(request.dispatch_epoch);
+        let (settlement, actions) = self.shared.core().cancel(&key, epoch, self.shared.clock.now());
         self.shared.perform(actions);
-        Ok(Response::new(v1::CancelReply {}))
+        Ok(Response::new(v1::CancelReply { state: state_of(settlement).into() }))
     }
 
     async fn report(
@@ -112,29 +135,71 @@
 }
 
 impl Rpc {
-    fn read_from(&self, key: RequestKey, offset_bytes: u64) -> EventStream {
+    fn is_other_process(&self, meant: &str) -> bool {
+        !meant.is_empty() && meant != self.shared.process.as_str()
+    }
+
+    /// Reads out the dispatch of a request that is held.
+    fn read_held(&self, key: RequestKey, offset_bytes: u64) -> Result<EventStream, Status> {
         let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
-        tokio::spawn(read_out(self.shared.clone(), key, Cursor::at(offset_bytes), sender));
-        ReceiverStream::new(receiver)
+        let reader = Reader::join(self.shared.clone(), key)
+            .ok_or_else(|| Status::not_found("this request is not held"))?;
+        tokio::spawn(read_out(reader, Cursor::at(offset_bytes), sender));
+        Ok(ReceiverStream::new(receiver))
     }
 
-    async fn say(&self, key: &RequestKey, event: &AnswerEvent) -> EventStream {
+    fn refuse(&self, key: &RequestKey, epoch: DispatchEpoch, refusal: Refusal) -> EventStream {
         let (sender, receiver) = mpsc::channel(1);
-        let _ = sender.send(Ok(message(&self.shared, key, event))).await;
+        let event = AnswerEvent::Refused(refusal);
+        let _ = sender.try_send(Ok(message(&self.shared, key, epoch, event)));
         ReceiverStream::new(receiver)
     }
 }
 
-/// Sends one reader what it is due until the end or until it goes away.
-async fn read_out(
+fn state_of(settlement: Settlement) -> v1::RequestState {
+    match settlement {
+        Settlement::Withdrawn => v1::RequestState::Withdrawn,
+        Settlement::Queued => v1::RequestState::Queued,
+        Settlement::Running => v1::RequestState::Running,
+        Settlement::Finished => v1::RequestState::Finished,
+        Settlement::NotRun => v1::RequestState::NotRun,
+    }
+}
+
+/// One reader of a dispatch; the core knows of it until it is dropped.
+struct Reader {
     shared: Arc<Shared>,
     key: RequestKey,
+    epoch: DispatchEpoch,
+}
+
+impl Reader {
+    fn join(shared: Arc<Shared>, key: RequestKey) -> Option<Reader> {
+        let epoch = {
+            let mut core = shared.core();
+            core.join_reader(&key);
+            core.epoch_of(&key)?
+        };
+        Some(Reader { shared, key, epoch })
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.shared.core().leave_reader(&self.key, self.shared.clock.now());
+    }
+}
+
+/// Sends one reader what it is due until the end or until it goes away.
+async fn read_out(
+    reader: Reader,
     mut cursor: Cursor,
     sender: mpsc::Sender<Result<v1::DispatchEvent, Status>>,
 ) {
-    let mut grown = shared.subscribe(&key);
+    let Reader { shared, key, epoch } = &reader;
+    let mut grown = shared.subscribe(key);
     loop {
-        let step = shared.core().read(&key, &mut cursor);
+        let step = shared.core().read(key, *epoch, &mut cursor);
         let event = match step {
             ReadStep::Event(event) => event,
             ReadStep::End => return,
@@ -144,26 +209,27 @@
                     changed = changed => match changed {
                         Ok(_) => continue,
                         Err(_) => AnswerEvent::Progress {
-                            handed_over: shared.core().is_handed_over(&key),
+                            handed_over: shared.core().is_handed_over(key),
                         },
                     },
                     () = sender.closed() => return,
                 }
             }
         };
-        if sender.send(Ok(message(&shared, &key, &event))).await.is_err() {
+        if sender.send(Ok(message(shared, key, *epoch, event))).await.is_err() {
             return;
         }
     }
 }
 
-fn message(shared: &Shared, key: &RequestKey, event: &AnswerEvent) -> v1::DispatchEvent {
-    v1::DispatchEvent {
-        key: Some(key.into()),
-        dispatch_epoch: 0,
-        load: Some(shared.core().load().into()),
-        event: Some(event.into()),
-    }
+fn message(
+    shared: &Shared,
+    key: &RequestKey,
+    epoch: DispatchEpoch,
+    event: AnswerEvent,
+) -> v1::DispatchEvent {
+    let load = shared.core().load();
+    Envelope { key: key.clone(), epoch, load, event }.into()
 }
 
 fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
--- a/components/agent/src/upstream/mod.rs
+++ b/components/agent/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use tokio::sync::mpsc;
+use web::ClientResponse;
 use wire::{Dispatch, RequestKey};
 
 use crate::core::UpstreamEvent;
@@ -18,6 +19,10 @@
     /// Hands a request over; events arrive until one that ends the request.
     async fn start(&self, dispatch: &Dispatch, events: mpsc::Sender<UpstreamEvent>);
 
+    /// Joins a request that was started before, on a new connection, from an offset of its answer;
+    /// `None` where the upstream knows nothing of it or cannot do that.
+    async fn resume(&self, key: &RequestKey, offset_bytes: u64) -> Option<ClientResponse>;
+
     /// Asks the upstream to stop working on a request.
     async fn abort(&self, key: &RequestKey);
 }
--- a/components/agent/src/upstream/service.rs
+++ b/components/agent/src/upstream/service.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use tokio::sync::mpsc;
-use web::{Client, ClientError, Request};
+use web::{Client, ClientError, ClientResponse, Request};
 use wire::{Dispatch, RequestKey, Work};
 
 use super::Upstream;
@@ -45,11 +45,15 @@
         relay(&self.client, self.address, request, patience, events).await;
     }
 
+    async fn resume(&self, _key: &RequestKey, _offset_bytes: u64) -> Option<ClientResponse> {
+        None
+    }
+
     async fn abort(&self, _key: &RequestKey) {}
 }
 
 /// Sends a request and passes on what comes back, as it comes.
-pub(super) async fn relay(
+async fn relay(
     client: &Client,
     address: SocketAddr,
     request: Request,
--- a/components/agent/tests/core.rs
+++ b/components/agent/tests/core.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use agent::core::{Action, Admission, Core, Cursor, ReadStep, Settlement, UpstreamEvent};
+use agent::core::{
+    Action, Admission, Core, Cursor, HeldLimits, ReadStep, Settlement, UpstreamEvent,
+};
 use bytes::Bytes;
 use clock::{Clock, ManualClock};
 use errors::{Outcome, ResultCode};
@@ -20,6 +22,8 @@
         tier: Tier(tier),
         time_left: Duration::from_secs(10),
         config_version: ConfigVersion(1),
+        process: None,
+        registration: None,
         work: Work::Model(ModelCall {
             model: ModelId::new("m"),
             body: Bytes::new(),
@@ -44,7 +48,7 @@
 fn a_request_asked_after_before_it_came_is_refused_when_it_comes() {
     let clock = ManualClock::new();
     let mut core = Core::new(4);
-    assert_eq!(core.settle(&key("late"), clock.now()), Settlement::Withdrawn);
+    assert_eq!(core.settle(&key("late"), DispatchEpoch(1), clock.now()), Settlement::Withdrawn);
     let (admission, actions) = core.dispatch(model_call("late", 0), clock.now());
     let Admission::Refused(refusal) = admission else { panic!("held") };
     assert_eq!((refusal.code, refusal.outcome), (ResultCode::Withdrawn, Outcome::NotRun));
@@ -81,7 +85,7 @@
     core.on_upstream(&key("a"), UpstreamEvent::Finished, clock.now());
     let mut cursor = Cursor::at(3);
     let mut events = Vec::new();
-    while let ReadStep::Event(event) = core.read(&key("a"), &mut cursor) {
+    while let ReadStep::Event(event) = core.read(&key("a"), DispatchEpoch(1), &mut cursor) {
         events.push(event);
     }
     let rest = AnswerEvent::Data { offset_bytes: 3, bytes: Bytes::from("lo") };
@@ -97,7 +101,7 @@
     clock.advance(Duration::from_secs(11));
     core.on_tick(clock.now());
     let ReadStep::Event(AnswerEvent::Refused(refusal)) =
-        core.read(&key("waits"), &mut Cursor::default())
+        core.read(&key("waits"), DispatchEpoch(1), &mut Cursor::default())
     else {
         panic!("no answer")
     };
@@ -105,3 +109,105 @@
     let actions = core.on_upstream(&key("running"), UpstreamEvent::Finished, clock.now());
     assert!(!actions.iter().any(|action| matches!(action, Action::Start(_))));
 }
+
+/// A finished answer of the given length.
+fn finish(core: &mut Core, id: &str, text: &'static str, clock: &ManualClock) {
+    core.dispatch(model_call(id, 0), clock.now());
+    let started = UpstreamEvent::Started { status: 200, content_type: String::new() };
+    core.on_upstream(&key(id), started, clock.now());
+    core.on_upstream(&key(id), UpstreamEvent::Data(Bytes::from(text)), clock.now());
+    core.on_upstream(&key(id), UpstreamEvent::Finished, clock.now());
+}
+
+fn last_event(core: &Core, id: &str) -> Option<AnswerEvent> {
+    let mut cursor = Cursor::default();
+    let mut last = None;
+    while let ReadStep::Event(event) = core.read(&key(id), DispatchEpoch(1), &mut cursor) {
+        last = Some(event);
+    }
+    last
+}
+
+fn is_already_ran(event: Option<AnswerEvent>) -> bool {
+    matches!(event, Some(AnswerEvent::Refused(refusal))
+        if (refusal.code, refusal.outcome) == (ResultCode::AlreadyRan, Outcome::Ran))
+}
+
+#[test]
+fn the_oldest_finished_answers_give_way_and_are_never_run_again() {
+    let clock = ManualClock::new();
+    let roomy = HeldLimits::default();
+    for limits in [
+        HeldLimits { count: 2, ..roomy },
+        HeldLimits { size_bytes: 11, ..roomy },
+        HeldLimits { read_size_bytes: 11, ..roomy },
+    ] {
+        let mut core = Core::with_held_limits(4, limits);
+        ["a", "b", "c"].iter().for_each(|id| finish(&mut core, id, "hello", &clock));
+        assert!(is_already_ran(last_event(&core, "a")));
+        assert_eq!(last_event(&core, "b"), Some(AnswerEvent::Finished { total_bytes: 5 }));
+        let (admission, actions) = core.dispatch(model_call("a", 0), clock.now());
+        assert_eq!((admission, actions.len()), (Admission::Held, 0));
+    }
+}
+
+#[test]
+fn an_answer_that_is_being_read_gives_way_last() {
+    let clock = ManualClock::new();
+    let mut core = Core::with_held_limits(4, HeldLimits { count: 2, ..HeldLimits::default() });
+    finish(&mut core, "read", "hello", &clock);
+    core.join_reader(&key("read"));
+    ["b", "c"].iter().for_each(|id| finish(&mut core, id, "hello", &clock));
+    assert_eq!(last_event(&core, "read"), Some(AnswerEvent::Finished { total_bytes: 5 }));
+    assert!(is_already_ran(last_event(&core, "b")));
+}
+
+#[test]
+fn an_answer_that_is_held_for_long_enough_is_dropped_and_its_end_remembered() {
+    let clock = ManualClock::new();
+    let mut core = Core::new(4);
+    finish(&mut core, "a", "hello", &clock);
+    clock.advance(Duration::from_secs(121));
+    core.on_tick(clock.now());
+    assert!(is_already_ran(last_event(&core, "a")));
+}
+
+#[test]
+fn a_model_request_that_nobody_reads_is_ended_after_a_while() {
+    let clock = ManualClock::new();
+    let mut core = Core::new(1);
+    for id in ["read", "left", "queued"] {
+        core.dispatch(model_call(id, 0), clock.now());
+        core.join_reader(&key(id));
+    }
+    core.leave_reader(&key("read"), clock.now());
+    core.join_reader(&key("read"));
+    core.leave_reader(&key("queued"), clock.now());
+    clock.advance(Duration::from_secs(9));
+    assert!(core.on_tick(clock.now()).is_empty());
+    clock.advance(Duration::from_millis(1500));
+    core.on_tick(clock.now());
+    let settled = |core: &mut Core, id| core.settle(&key(id), DispatchEpoch(1), clock.now());
+    assert_eq!(settled(&mut core, "read"), Settlement::Running);
+    assert_eq!(settled(&mut core, "queued"), Settlement::NotRun);
+    core.leave_reader(&key("read"), clock.now());
+    clock.advance(Duration::from_secs(11));
+    let actions = core.on_tick(clock.now());
+    assert!(actions.contains(&Action::Abort(key("read"))));
+}
+
+#[test]
+fn a_withdrawn_dispatch_stays_refused_while_a_later_one_is_taken() {
+    let clock = ManualClock::new();
+    let mut core = Core::new(1);
+    core.settle(&key("a"), DispatchEpoch(2), clock.now());
+    for epoch in [1, 2] {
+        let late = Dispatch { epoch: DispatchEpoch(epoch), ..model_call("a", 0) };
+        assert!(matches!(core.dispatch(late, clock.now()).0, Admission::Refused(_)));
+    }
+    let later = Dispatch { epoch: DispatchEpoch(3), ..model_call("a", 0) };
+    assert_eq!(core.dispatch(later, clock.now()).0, Admission::Held);
+    assert_eq!(core.settle(&key("a"), DispatchEpoch(2), clock.now()), Settlement::NotRun);
+    let late = Dispatch { epoch: DispatchEpoch(2), ..model_call("a", 0) };
+    assert!(matches!(core.dispatch(late, clock.now()).0, Admission::Refused(_)));
+}
--- a/components/entry/src/shell/callers.rs
+++ b/components/entry/src/shell/callers.rs
@@ -1,32 +1,16 @@
-//! Callers' HTTP: takes a request through the filters and brings its answer back.
+//! Callers' HTTP: takes a request through the filters and gives its answer back.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use errors::{Refusal, ResultCode};
-use identity::{DispatchEpoch, UpstreamId};
-use log::{info, warn};
 use tokio::runtime;
 use tokio::sync::{mpsc, oneshot};
-use tonic::Streaming;
 use web::{Body, Handler, Headers, Request, Response};
-use wire::{AnswerEvent, RequestKey, v1};
 
 use super::Shared;
-use crate::filters::dispatch::{Dispatch, Event, Next};
-use crate::filters::{Exchange, Job, View};
-
-/// How long an agent may say nothing before contact counts as lost.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
-
-/// How long an agent may take to say what became of a request.
-const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
-
-/// When to come back to a process that has no configuration yet.
-const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+use super::delivery::{Delivery, Opening};
 
 /// Pieces of an answer that wait for their caller.
 const ANSWER_QUEUE: usize = 32;
@@ -36,12 +20,6 @@
     runtime: runtime::Handle,
 }
 
-/// What the caller gets first.
-enum Opening {
-    Head { status: u16, content_type: String },
-    Refused(Refusal),
-}
-
 impl Callers {
     pub(crate) fn new(shared: Arc<Shared>, runtime: runtime::Handle) -> Callers {
         Callers { shared, runtime }
@@ -61,17 +39,24 @@
         });
         match opening.await {
             Ok((id, Opening::Head { status, content_type })) => {
-                let mut headers = Headers::default();
-                headers.push("content-type", content_type);
-                headers.push("x-request-id", id);
-                Response { status, headers, body: Body::Stream(pieces) }
+                answer(status, content_type, id, Body::Stream(pieces))
+            }
+            Ok((id, Opening::Whole { status, content_type, body })) => {
+                answer(status, content_type, id, Body::Whole(body))
             }
             Ok((id, Opening::Refused(refusal))) => refuse(&refusal, &id),
-            Err(_) => refuse(&Refusal::not_run(ResultCode::Internal), ""),
+            Err(_) => refuse(&Refusal::new(ResultCode::Internal, errors::Outcome::Unknown), ""),
         }
     }
 }
 
+fn answer(status: u16, content_type: String, request_id: String, body: Body) -> Response {
+    let mut headers = Headers::default();
+    headers.push("content-type", content_type);
+    headers.push("x-request-id", request_id);
+    Response { status, headers, body }
+}
+
 /// The response for a refusal.
 pub(super) fn refuse(refusal: &Refusal, request_id: &str) -> Response {
     let mut response = Response::json(refusal.code.http_status(), &refusal.body());
@@ -83,291 +68,3 @@
         None => response,
     }
 }
-
-type OpeningSender = oneshot::Sender<(String, Opening)>;
-
-/// One request between its arrival and the end of its answer.
-struct Delivery {
-    shared: Arc<Shared>,
-    request: Request,
-    arrived: Instant,
-    key: RequestKey,
-    job: Job,
-    excluded: Vec<UpstreamId>,
-    epoch: DispatchEpoch,
-    opening: Option<OpeningSender>,
-    pieces: mpsc::Sender<Bytes>,
-}
-
-impl Delivery {
-    async fn begin(
-        shared: Arc<Shared>,
-        request: Request,
-        opening: OpeningSender,
-        pieces: mpsc::Sender<Bytes>,
-    ) {
-        let arrived = shared.clock.now();
-        let id = request.headers.get("x-request-id").unwrap_or_default().to_owned();
-        let placed = place(&shared, &request, arrived);
-        let (key, job, upstream) = match placed {
-            Ok(placed) => placed,
-            Err(refusal) => {
-                shared.metrics.count(None, refusal.code.name(), 0.0);
-                info!("request={id} refused {refusal}");
-                let _ = opening.send((id, Opening::Refused(refusal)));
-                return;
-            }
-        };
-        let mut delivery = Delivery {
-            shared,
-            request,
-            arrived,
-            key,
-            job,
-            excluded: Vec::new(),
-            epoch: DispatchEpoch(1),
-            opening: Some(opening),
-            pieces,
-        };
-        delivery.run(upstream).await;
-    }
-
-    async fn run(&mut self, mut upstream: UpstreamId) {
-        let mut dispatch = Dispatch::new();
-        loop {
-            self.shared.update_heard(&upstream, |heard| heard.own_outstanding += 1);
-            let end = self.follow(&mut dispatch, &upstream).await;
-            self.shared.update_heard(&upstream, |heard| heard.own_outstanding -= 1);
-            let End::PlaceAgain = end else { return self.finish(end, &upstream) };
-            self.excluded.push(upstream);
-            self.epoch = DispatchEpoch(self.epoch.0 + 1);
-            match self.place_again() {
-                Ok(next) => upstream = next,
-                Err(refusal) => {
-                    let last = self.excluded.last().cloned();
-                    let name = last.unwrap_or_else(|| UpstreamId::new(""));
-                    return self.finish(End::Refused(refusal), &name);
-                }
-            }
-        }
-    }
-
-    /// Follows the request on one upstream until it ends or is to be placed again.
-    async fn follow(&mut self, dispatch: &mut Dispatch, upstream: &UpstreamId) -> End {
-        let Some(mut agent) = self.client(upstream) else { return End::PlaceAgain };
-        let message = self.message();
-        let mut stream = None;
-        let mut event = match timed(agent.dispatch(message)).await {
-            Some(Ok(opened)) => {
-                stream = Some(opened.into_inner());
-                None
-            }
-            Some(Err(status)) if is_not_sent(&status) => Some(Event::NotSent),
-            _ => Some(Event::ContactLost),
-        };
-        loop {
-            let happened = match event.take() {
-                Some(event) => event,
-                None => self.next_event(&mut stream, upstream).await,
-            };
-            match dispatch.on_event(happened) {
-                Next::Wait => {}
-                Next::Head { status, content_type } => self.open(status, content_type),
-                Next::Piece(bytes) => {
-                    if self.pieces.send(bytes).await.is_err() {
-                        self.cancel(upstream).await;
-                        return End::CallerGone;
-                    }
-                }
-                Next::Whole => return End::Whole,
-                Next::PlaceAgain => return End::PlaceAgain,
-                Next::Ask => event = Some(self.ask(upstream).await),
-                Next::Join { offset_bytes } => {
-                    stream = self.join(upstream, offset_bytes).await;
-                    if stream.is_none() {
-                        event = Some(Event::ContactLost);
-                    }
-                }
-                Next::Answer(refusal) => return End::Refused(refusal),
-            }
-        }
-    }
-
-    async fn next_event(
-        &mut self,
-        stream: &mut Option<Streaming<v1::DispatchEvent>>,
-        upstream: &UpstreamId,
-    ) -> Event {
-        let Some(open) = stream else { return Event::ContactLost };
-        let now = self.shared.clock.now();
-        let left = (self.arrived + self.job.deadline).saturating_duration_since(now);
-        if left.is_zero() {
-            self.cancel(upstream).await;
-            return Event::DeadlinePassed;
-        }
-        let message = tokio::time::timeout(SILENCE_LIMIT.min(left), open.message()).await;
-        let Ok(Ok(Some(message))) = message else {
-            if left > SILENCE_LIMIT {
-                *stream = None;
-                return Event::ContactLost;
-            }
-            return Event::Said(AnswerEvent::Progress { handed_over: true });
-        };
-        if let Some(load) = message.load {
-            self.shared.update_heard(upstream, |heard| {
-                heard.load = load.into();
-                heard.at = now;
-            });
-        }
-        match message.event.map(AnswerEvent::try_from) {
-            Some(Ok(event)) => Event::Said(event),
-            _ => Event::ContactLost,
-        }
-    }
-
-    /// Asks the agent, on a new connection, what became of the request.
-    async fn ask(&self, upstream: &UpstreamId) -> Event {
-        let Some(mut agent) = self.fresh_client(upstream) else { return Event::NotAsked };
-        let request =
-            v1::SettleRequest { key: Some((&self.key).into()), dispatch_epoch: self.epoch.0 };
-        let answer = tokio::time::timeout(ASK_TIMEOUT, agent.settle(request)).await;
-        let Ok(Ok(reply)) = answer else {
-            tokio::time::sleep(ASK_TIMEOUT / 4).await;
-            return Event::NotAsked;
-        };
-        match reply.into_inner().state() {
-            v1::RequestState::Withdrawn | v1::RequestState::NotRun => Event::NeverRun,
-            v1::RequestState::Queued | v1::RequestState::Running | v1::RequestState::Finished => {
-                Event::Known
-            }
-            v1::RequestState::Unspecified => Event::NotAsked,
-        }
-    }
-
-    async fn join(
-        &self,
-        upstream: &UpstreamId,
-        offset_bytes: u64,
-    ) -> Option<Streaming<v1::DispatchEvent>> {
-        let mut agent = self.client(upstream)?;
-        let request = v1::AttachRequest { key: Some((&self.key).into()), offset_bytes };
-        timed(agent.attach(request)).await?.ok().map(tonic::Response::into_inner)
-    }
-
-    async fn cancel(&self, upstream: &UpstreamId) {
-        if self.job.once_only {
-            return;
-        }
-        let Some(mut agent) = self.client(upstream) else { return };
-        let request = v1::CancelRequest { key: Some((&self.key).into()) };
-        if let Some(Err(status)) = timed(agent.cancel(request)).await {
-            warn!("request={} cancel failed: {status}", self.key.request_id);
-        }
-    }
-
-    fn place_again(&self) -> Result<UpstreamId, Refusal> {
-        let view = read_view(&self.shared)?;
-        let mut exchange = Exchange {
-            excluded: &self.excluded,
-            job: Some(self.job.clone()),
-            ..Exchange::new(&self.request, &view, self.shared.clock.now())
-        };
-        self.shared.chain.place_again(&mut exchange).map_err(|(_, refusal)| refusal)?;
-        exchange.upstream.ok_or_else(|| Refusal::not_run(ResultCode::Internal))
-    }
-
-    fn client(
-        &self,
-        upstream: &UpstreamId,
-    ) -> Option<v1::agent_client::AgentClient<tonic::transport::Channel>> {
-        let snapshot = self.shared.in_force.load()?;
-        let address = snapshot.document.upstreams.get(upstream)?.agent;
-        self.shared.agents.client(address).ok()
-    }
-
-    fn fresh_client(
-        &self,
-        upstream: &UpstreamId,
-    ) -> Option<v1::agent_client::AgentClient<tonic::transport::Channel>> {
-        let snapshot = self.shared.in_force.load()?;
-        self.shared.agents.replace(snapshot.document.upstreams.get(upstream)?.agent);
-        self.client(upstream)
-    }
-
-    fn message(&self) -> v1::DispatchRequest {
-        let now = self.shared.clock.now();
-        let dispatch = wire::Dispatch {
-            key: self.key.clone(),
-            epoch: self.epoch,
-            tier: self.job.tier,
-            time_left: (self.arrived + self.job.deadline).saturating_duration_since(now),
-            config_version: self.shared.in_force.version(),
-            work: self.job.work.clone(),
-        };
-        (&dispatch).into()
-    }
-
-    fn open(&mut self, status: u16, content_type: String) {
-        if let Some(opening) = self.opening.take() {
-            let id = self.key.request_id.to_string();
-            let _ = opening.send((id, Opening::Head { status, content_type }));
-        }
-    }
-
-    fn finish(&mut self, end: End, upstream: &UpstreamId) {
-        let took = self.shared.clock.now().saturating_duration_since(self.arrived);
-        let result = match &end {
-            End::Whole => "whole",
-            End::CallerGone => "caller_gone",
-            End::Refused(refusal) => refusal.code.name(),
-            End::PlaceAgain => "placed_again",
-        };
-        self.shared.metrics.count(Some(self.job.tier), result, took.as_secs_f64());
-        info!(
-            "request={} customer={} tier={} upstream={upstream} result={result} ms={}",
-            self.key.request_id,
-            self.key.customer,
-            self.job.tier,
-            took.as_millis()
-        );
-        if let (End::Refused(refusal), Some(opening)) = (end, self.opening.take()) {
-            let _ = opening.send((self.key.request_id.to_string(), Opening::Refused(refusal)));
-        }
-    }
-}
-
-/// How a request ended on one upstream.
-enum End {
-    Whole,
-    CallerGone,
-    PlaceAgain,
-    Refused(Refusal),
-}
-
-type Placed = (RequestKey, Job, UpstreamId);
-
-fn place(shared: &Shared, request: &Request, arrived: Instant) -> Result<Placed, Refusal> {
-    let view = read_view(shared)?;
-    let mut exchange = Exchange::new(request, &view, arrived);
-    shared.chain.run(&mut exchange).map_err(|(_, refusal)| refusal)?;
-    match (exchange.key, exchange.job, exchange.upstream) {
-        (Some(key), Some(job), Some(upstream)) => Ok((key, job, upstream)),
-        _ => Err(Refusal::not_run(ResultCode::Internal)),
-    }
-}
-
-fn read_view(shared: &Shared) -> Result<View, Refusal> {
-    shared.view().ok_or_else(|| {
-        Refusal::not_run(ResultCode::ConfigurationMissing).with_retry_after(CONFIGURATION_WAIT)
-    })
-}
-
-async fn timed<T>(call: impl Future<Output = T>) -> Option<T> {
-    tokio::time::timeout(SILENCE_LIMIT, call).await.ok()
-}
-
-/// Whether a failed call was certainly never sent.
-fn is_not_sent(status: &tonic::Status) -> bool {
-    let source = std::error::Error::source(status);
-    source.is_some_and(|error| format!("{error:?}").contains("ConnectError"))
-}
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -1,10 +1,13 @@
 //! Sockets and tasks around filters and controllers.
 
 mod agents;
+mod answer;
 mod callers;
+mod delivery;
 mod metrics;
 mod operators;
 mod refresh;
+mod target;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- /dev/null
+++ b/components/entry/src/shell/target.rs
@@ -0,0 +1,68 @@
+//! The agent that a request is handed to.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use identity::{ProcessId, UpstreamId};
+use wire::LoadDigest;
+
+use super::Shared;
+use super::agents::Connection;
+
+/// One process of an agent, and the connection to it.
+pub(super) struct Target {
+    pub(super) upstream: UpstreamId,
+    pub(super) address: SocketAddr,
+    /// The process that the request was handed to; another one knows nothing of it.
+    pub(super) process: ProcessId,
+    pub(super) connection: Connection,
+}
+
+/// Counts a request as outstanding until it is dropped.
+pub(super) struct Outstanding {
+    shared: Arc<Shared>,
+    upstream: UpstreamId,
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.shared.update_heard(&self.upstream, |heard| heard.own_outstanding -= 1);
+    }
+}
+
+impl Target {
+    /// Connects to the agent beside an upstream; an error means that nothing was sent.
+    pub(super) async fn connect(
+        shared: &Shared,
+        upstream: &UpstreamId,
+    ) -> Result<Target, tonic::Status> {
+        let snapshot = shared.in_force.load();
+        let address = snapshot
+            .and_then(|snapshot| snapshot.document.upstreams.get(upstream).map(|found| found.agent))
+            .ok_or_else(|| tonic::Status::not_found("the upstream is not configured"))?;
+        let connection = shared.agents.connect(address).await?;
+        let process = connection.process.clone();
+        Ok(Target { upstream: upstream.clone(), address, process, connection })
+    }
+
+    /// Replaces the connection. The address stays, whatever the configuration says by now.
+    pub(super) async fn reconnect(&mut self, shared: &Shared) -> Result<(), tonic::Status> {
+        shared.agents.replace(self.address, &self.connection);
+        self.connection = shared.agents.connect(self.address).await?;
+        Ok(())
+    }
+
+    /// Takes what the agent says of its load.
+    pub(super) fn hear(&self, shared: &Shared, load: LoadDigest) {
+        let now = shared.clock.now();
+        shared.update_heard(&self.upstream, |heard| {
+            heard.load = load;
+            heard.at = now;
+        });
+    }
+
+    pub(super) fn count_outstanding(&self, shared: &Arc<Shared>) -> Outstanding {
+        shared.update_heard(&self.upstream, |heard| heard.own_outstanding += 1);
+        Outstanding { shared: shared.clone(), upstream: self.upstream.clone() }
+    }
+}
--- a/components/wire/src/convert.rs
+++ b/components/wire/src/convert.rs
@@ -4,9 +4,15 @@
 use std::time::Duration;
 
 use errors::{Outcome, Refusal, ResultCode};
-use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+use identity::{
+    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
+    UpstreamId,
+};
 
-use crate::event::{AnswerEvent, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work};
+use crate::event::{
+    AnswerEvent, Dispatch, Envelope, LoadDigest, ModelCall, Registration, RequestKey, ServiceCall,
+    Work,
+};
 use crate::v1;
 
 /// A message that makes no sense.
@@ -56,6 +62,8 @@
             time_left_ms: dispatch.time_left.as_millis() as u64,
             configuration_version: dispatch.config_version.0,
             work: Some((&dispatch.work).into()),
+            process: dispatch.process.as_ref().map_or_else(String::new, ProcessId::to_string),
+            registration: dispatch.registration.as_ref().map(Into::into),
         }
     }
 }
@@ -73,6 +81,52 @@
             time_left: Duration::from_millis(request.time_left_ms),
             config_version: ConfigVersion(request.configuration_version),
             work: request.work.ok_or(WireError::Missing("work"))?.into(),
+            process: Some(request.process).filter(|id| !id.is_empty()).map(ProcessId::new),
+            registration: request.registration.map(Into::into),
+        })
+    }
+}
+
+impl From<&Registration> for v1::Registration {
+    fn from(registration: &Registration) -> Self {
+        v1::Registration {
+            home: registration.home.to_string(),
+            process: registration.process.to_string(),
+            configuration_version: registration.config_version.0,
+        }
+    }
+}
+
+impl From<v1::Registration> for Registration {
+    fn from(registration: v1::Registration) -> Self {
+        Registration {
+            home: UpstreamId::new(registration.home),
+            process: ProcessId::new(registration.process),
+            config_version: ConfigVersion(registration.configuration_version),
+        }
+    }
+}
+
+impl From<Envelope> for v1::DispatchEvent {
+    fn from(envelope: Envelope) -> Self {
+        v1::DispatchEvent {
+            key: Some((&envelope.key).into()),
+            dispatch_epoch: envelope.epoch.0,
+            load: Some(envelope.load.into()),
+            event: Some((&envelope.event).into()),
+        }
+    }
+}
+
+impl TryFrom<v1::DispatchEvent> for Envelope {
+    type Error = WireError;
+
+    fn try_from(message: v1::DispatchEvent) -> Result<Self, WireError> {
+        Ok(Envelope {
+            key: message.key.ok_or(WireError::Missing("key"))?.into(),
+            epoch: DispatchEpoch(message.dispatch_epoch),
+            load: message.load.map(Into::into).unwrap_or_default(),
+            event: message.event.ok_or(WireError::Missing("event"))?.try_into()?,
         })
     }
 }
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use errors::Refusal;
-use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
+use identity::{
+    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
+    UpstreamId,
+};
 
 /// A request is known by its customer and its id together.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -30,6 +33,21 @@
     pub config_version: ConfigVersion,
     /// What is to be done.
     pub work: Work,
+    /// The process of the agent that this is meant for.
+    pub process: Option<ProcessId>,
+    /// Where the placement is recorded, if the caller may ask again.
+    pub registration: Option<Registration>,
+}
+
+/// Where the placement of a request is recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registration {
+    /// The upstream whose agent holds the record.
+    pub home: UpstreamId,
+    /// The process of that agent.
+    pub process: ProcessId,
+    /// The configuration that the home follows from.
+    pub config_version: ConfigVersion,
 }
 
 /// What is to be done for a request.
@@ -122,3 +140,16 @@
     /// There is no answer, or no more of it.
     Refused(Refusal),
 }
+
+/// An event with the dispatch that it belongs to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Envelope {
+    /// Which request.
+    pub key: RequestKey,
+    /// Which dispatch of it.
+    pub epoch: DispatchEpoch,
+    /// Load of the agent.
+    pub load: LoadDigest,
+    /// The event.
+    pub event: AnswerEvent,
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,4 +11,7 @@
 pub mod v1;
 
 pub use convert::WireError;
-pub use event::{AnswerEvent, Dispatch, LoadDigest, ModelCall, RequestKey, ServiceCall, Work};
+pub use event::{
+    AnswerEvent, Dispatch, Envelope, LoadDigest, ModelCall, Registration, RequestKey, ServiceCall,
+    Work,
+};
