Dispatch a model request once for each id, by an index in the agents' memory

Cause: a caller who asked again with its id at another entry was dispatched a second time, and a request whose entry died could not be found.

Change: component `registry` (pure): rendezvous homes over the engines of the customer's region, an index of placements, a fence against outdated indexes. Agents serve it (`Index` in the protocol), entries register ids that callers gave before the hand-over, leave copies so that three agents know, fill the index of a home that has just started, and join what was placed before. A caller who can ask again no longer ends its request by going away; one that was told not run may run when it is asked for again. delivery.rs is split: contact (what is said to the agent), registrar, target, answer.

Found by the interleavings while building: (1) a placement recorded by a lost index was taken for one of the new index: epochs now start at the process's starting time; (2) where home and upstream are one agent, two losses forgot the id: two copies there. Both traces are kept as a test.

Red first, with the mechanism off: known placement ignored: handed over twice; index not filled: twice; fence off: twice; first epoch 1: twice. End to end: without registration the second entry starts the engine again; without copies an id runs again after home and agent were lost; without placing again what did not run, 504 not_run is repeated for good.

Conclusion: at most one dispatch for each id while one of three agents lives.

--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -295,6 +295,11 @@
         }
     }
 
+    /// Every dispatch that is held or remembered.
+    pub fn held(&self) -> impl Iterator<Item = (&RequestKey, DispatchEpoch)> {
+        self.records.iter().map(|(key, record)| (key, record.epoch))
+    }
+
     /// The epoch of the dispatch that is held.
     pub fn epoch_of(&self, key: &RequestKey) -> Option<DispatchEpoch> {
         self.records.get(key).map(|record| record.epoch)
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets and tasks around the agent's core.
 
+mod index;
 mod server;
 
 use std::collections::HashMap;
@@ -59,6 +60,8 @@
     process: ProcessId,
     clock: Arc<dyn Clock>,
     core: Mutex<Core>,
+    /// Locked before the core where both are.
+    registry: Mutex<index::Registry>,
     upstream: Arc<dyn Upstream>,
     wakers: Mutex<HashMap<RequestKey, watch::Sender<u64>>>,
     running: Mutex<HashMap<RequestKey, JoinHandle<()>>>,
@@ -80,6 +83,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
+            registry: Mutex::new(index::Registry::new(&*self.clock)),
             settings: self.settings,
             process: ProcessId::random(),
             clock: self.clock,
@@ -204,5 +208,6 @@
         let actions = shared.core().on_tick(shared.clock.now());
         shared.perform(actions);
         shared.forget_idle_wakers();
+        index::lock(&shared.registry).index.on_tick(shared.clock.now());
     }
 }
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -6,14 +6,16 @@
 use errors::{Refusal, ResultCode};
 use identity::DispatchEpoch;
 use log::warn;
+use registry::Standing;
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
+use wire::v1::index_server::IndexServer;
 use wire::{AnswerEvent, Dispatch, Envelope, RequestKey, v1};
 
-use super::Shared;
-use crate::core::{Admission, Cursor, ReadStep, Settlement};
+use super::{Shared, index};
+use crate::core::{Action, Admission, Cursor, ReadStep, Settlement};
 
 /// Events on their way to one entry process.
 const STREAM_QUEUE: usize = 32;
@@ -38,12 +40,14 @@
     incoming: TcpListenerStream,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let index = IndexServer::new(index::Rpc { shared: shared.clone() });
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
         .tcp_nodelay(true)
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT))
         .add_service(service)
+        .add_service(index)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
         })
@@ -68,7 +72,7 @@
             let refusal = Refusal::not_run(ResultCode::NoUpstream);
             return Ok(Response::new(self.refuse(&key, epoch, refusal)));
         }
-        let (admission, actions) = self.shared.core().dispatch(dispatch, self.shared.clock.now());
+        let (admission, actions) = self.admit(dispatch);
         self.shared.perform(actions);
         let stream = match admission {
             Admission::Held => self.read_held(key, 0)?,
@@ -135,6 +139,18 @@
 }
 
 impl Rpc {
+    /// Admits a request unless the index that allowed it has been replaced.
+    fn admit(&self, dispatch: Dispatch) -> (Admission, Vec<Action>) {
+        let registry = index::lock(&self.shared.registry);
+        if let Some(by) = &dispatch.registration
+            && registry.fence.judge(&dispatch.key, by) == Standing::Outdated
+        {
+            let refusal = Refusal::not_run(ResultCode::StaleFencingToken);
+            return (Admission::Refused(refusal), Vec::new());
+        }
+        self.shared.core().dispatch(dispatch, self.shared.clock.now())
+    }
+
     fn is_other_process(&self, meant: &str) -> bool {
         !meant.is_empty() && meant != self.shared.process.as_str()
     }
@@ -232,10 +248,10 @@
     Envelope { key: key.clone(), epoch, load, event }.into()
 }
 
-fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
+pub(super) fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
     key.map(RequestKey::from).ok_or_else(|| Status::invalid_argument("key is missing"))
 }
 
-fn invalid(error: wire::WireError) -> Status {
+pub(super) fn invalid(error: wire::WireError) -> Status {
     Status::invalid_argument(error.to_string())
 }
--- a/components/entry/src/filters/dispatch.rs
+++ b/components/entry/src/filters/dispatch.rs
@@ -79,6 +79,8 @@
     Whole,
     /// Place the request on another upstream.
     PlaceAgain,
+    /// Find out anew where the request is placed.
+    RegisterAgain,
     /// Ask the agent, on a new connection and after a pause, what became of the request.
     Ask {
         /// The pause.
@@ -100,6 +102,7 @@
     placements: u32,
     lost_contacts: u32,
     sent: bool,
+    joined: bool,
     relay: Relay,
 }
 
@@ -107,7 +110,7 @@
     /// A request that has just been placed for the first time.
     pub fn new(key: RequestKey, epoch: DispatchEpoch) -> Dispatch {
         let relay = Relay::new(key.clone(), epoch);
-        Dispatch { key, placements: 1, lost_contacts: 0, sent: false, relay }
+        Dispatch { key, placements: 1, lost_contacts: 0, sent: false, joined: false, relay }
     }
 
     /// The dispatch that is followed.
@@ -120,6 +123,19 @@
         self.relay = Relay::new(self.key.clone(), epoch);
         self.lost_contacts = 0;
         self.sent = false;
+        self.joined = false;
+    }
+
+    /// Follows a dispatch that somebody made earlier. If it did not run, this attempt still may.
+    pub fn join(&mut self, epoch: DispatchEpoch) {
+        self.follow(epoch);
+        self.sent = true;
+        self.joined = true;
+    }
+
+    /// Whether the dispatch was made earlier, by somebody who may still follow it.
+    pub fn is_joined(&self) -> bool {
+        self.joined
     }
 
     /// Takes what happened and says what to do.
@@ -151,9 +167,15 @@
             self.lost_contacts = 0;
         }
         match (taken, refusal) {
-            (Taken::Refused(_), Some(refusal)) if may_place_again(&refusal) => {
+            (Taken::Refused(_), Some(refusal)) if self.may_place_again(&refusal) => {
                 self.place_again(refusal)
             }
+            (Taken::Refused(refusal), _) if is_outdated(&refusal) => {
+                match self.place_again(refusal) {
+                    Next::PlaceAgain => Next::RegisterAgain,
+                    next => next,
+                }
+            }
             (Taken::Refused(refusal), _) => Next::Answer(refusal),
             (Taken::Nothing, _) => Next::Wait,
             (Taken::Head { status, content_type }, _) => Next::Head { status, content_type },
@@ -190,6 +212,18 @@
         Refusal::new(ResultCode::UpstreamLost, self.outcome_unasked()).with_retry_after(RETRY_AFTER)
     }
 
+    /// Another upstream may do better only where this one did not run the request.
+    fn may_place_again(&self, refusal: &Refusal) -> bool {
+        let elsewhere = matches!(
+            refusal.code,
+            ResultCode::Draining
+                | ResultCode::NoUpstream
+                | ResultCode::Overloaded
+                | ResultCode::Withdrawn
+        );
+        (elsewhere || self.joined) && refusal.outcome == Outcome::NotRun
+    }
+
     fn place_again(&mut self, refusal: Refusal) -> Next {
         if self.placements >= PLACEMENT_LIMIT {
             return Next::Answer(refusal.with_retry_after(RETRY_AFTER));
@@ -223,14 +257,7 @@
     }
 }
 
-/// Another upstream may do better only where this one did not run the request.
-fn may_place_again(refusal: &Refusal) -> bool {
-    let elsewhere = matches!(
-        refusal.code,
-        ResultCode::Draining
-            | ResultCode::NoUpstream
-            | ResultCode::Overloaded
-            | ResultCode::Withdrawn
-    );
-    elsewhere && refusal.outcome == Outcome::NotRun
+/// The index that allowed the hand-over has been replaced.
+fn is_outdated(refusal: &Refusal) -> bool {
+    refusal.code == ResultCode::StaleFencingToken && refusal.outcome == Outcome::NotRun
 }
--- a/components/entry/src/shell/agents.rs
+++ b/components/entry/src/shell/agents.rs
@@ -12,6 +12,7 @@
 use tonic::transport::{Channel, Endpoint};
 use wire::v1;
 use wire::v1::agent_client::AgentClient;
+use wire::v1::index_client::IndexClient;
 
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -43,6 +44,8 @@
 pub(crate) struct Connection {
     /// The client; cheap to clone.
     pub(crate) client: AgentClient<Channel>,
+    /// The client of the index there.
+    pub(crate) index: IndexClient<Channel>,
     /// The process at the other end.
     pub(crate) process: ProcessId,
     replaced: watch::Receiver<bool>,
@@ -115,13 +118,13 @@
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .connect_lazy();
-    let mut client = AgentClient::new(channel);
+    let mut client = AgentClient::new(channel.clone());
     let hello = client.report(v1::ReportRequest { asked_by: String::new() });
     let report = tokio::time::timeout(HELLO_TIMEOUT, hello)
         .await
         .map_err(|_| tonic::Status::deadline_exceeded("the agent does not answer"))??;
     let process = ProcessId::new(report.into_inner().process);
-    Ok(Connection { client, process, replaced })
+    Ok(Connection { client, index: IndexClient::new(channel), process, replaced })
 }
 
 /// Whether a failed call was certainly never sent: the connection under it could not be made.
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -3,10 +3,12 @@
 mod agents;
 mod answer;
 mod callers;
+mod contact;
 mod delivery;
 mod metrics;
 mod operators;
 mod refresh;
+mod registrar;
 mod target;
 
 use std::collections::BTreeMap;
@@ -58,6 +60,7 @@
     pub(crate) in_force: InForce,
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
+    pub(crate) homes: registrar::HomesCache,
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -76,6 +79,7 @@
             in_force: InForce::new(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
+            homes: registrar::HomesCache::default(),
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
--- a/components/entry/src/shell/target.rs
+++ b/components/entry/src/shell/target.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use identity::{ProcessId, UpstreamId};
+use registry::Placed;
 use wire::LoadDigest;
 
 use super::Shared;
@@ -45,6 +46,12 @@
         Ok(Target { upstream: upstream.clone(), address, process, connection })
     }
 
+    /// Connects to where a request was placed before.
+    pub(super) async fn join(shared: &Shared, placed: &Placed) -> Result<Target, tonic::Status> {
+        let target = Target::connect(shared, &placed.upstream).await?;
+        Ok(Target { process: placed.process.clone(), ..target })
+    }
+
     /// Replaces the connection. The address stays, whatever the configuration says by now.
     pub(super) async fn reconnect(&mut self, shared: &Shared) -> Result<(), tonic::Status> {
         shared.agents.replace(self.address, &self.connection);
--- a/components/entry/tests/interleavings.rs
+++ b/components/entry/tests/interleavings.rs
@@ -264,7 +264,7 @@
             Next::Piece(bytes) => self.taken.extend_from_slice(&bytes),
             Next::Ask { .. } => self.doing = Doing::Asking,
             Next::Join { offset_bytes } => self.doing = Doing::Following(Cursor::at(offset_bytes)),
-            Next::PlaceAgain => {
+            Next::PlaceAgain | Next::RegisterAgain => {
                 self.at = (self.at + 1) % AGENTS;
                 self.dispatch.follow(DispatchEpoch(self.dispatch.epoch().0 + 1));
                 self.doing = Doing::HandingOver;
--- /dev/null
+++ b/components/registry/src/homes.rs
@@ -0,0 +1,75 @@
+//! Which agent holds the index of a request: rendezvous hashing over the agents of a region.
+
+use identity::{ConfigVersion, UpstreamId};
+use wire::RequestKey;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The agents that hold the index, each a part of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Homes {
+    version: ConfigVersion,
+    members: Vec<(UpstreamId, u64)>,
+    digest: u64,
+}
+
+/// Names a set of homes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HomeSet {
+    /// The configuration that it follows from.
+    pub version: ConfigVersion,
+    /// Equal for equal members.
+    pub digest: u64,
+}
+
+impl Homes {
+    /// The homes of a configuration.
+    pub fn new(version: ConfigVersion, members: impl IntoIterator<Item = UpstreamId>) -> Homes {
+        let hash = |name: &UpstreamId| xxh3_64_with_seed(name.as_str().as_bytes(), 0);
+        let mut members: Vec<_> = members
+            .into_iter()
+            .map(|name| {
+                let hash = hash(&name);
+                (name, hash)
+            })
+            .collect();
+        members.sort();
+        let digest = members
+            .iter()
+            .fold(0, |digest, (name, _)| xxh3_64_with_seed(name.as_str().as_bytes(), digest));
+        Homes { version, members, digest }
+    }
+
+    /// The name of the set.
+    pub fn set(&self) -> HomeSet {
+        HomeSet { version: self.version, digest: self.digest }
+    }
+
+    /// Every home.
+    pub fn members(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.members.iter().map(|(name, _)| name)
+    }
+
+    /// The home of a request.
+    pub fn of(&self, key: &RequestKey) -> Option<&UpstreamId> {
+        self.best(key, &[])
+    }
+
+    /// Who keeps copies of where the request is placed: with its home and the upstream itself they
+    /// are three, so that the loss of any two leaves one who knows.
+    pub fn copies_of(&self, key: &RequestKey, upstream: &UpstreamId) -> Vec<&UpstreamId> {
+        let Some(home) = self.of(key) else { return Vec::new() };
+        let Some(first) = self.best(key, &[home, upstream]) else { return Vec::new() };
+        if home != upstream {
+            return vec![first];
+        }
+        std::iter::once(first).chain(self.best(key, &[home, first])).collect()
+    }
+
+    fn best(&self, key: &RequestKey, passed_over: &[&UpstreamId]) -> Option<&UpstreamId> {
+        let customer = xxh3_64_with_seed(key.customer.as_str().as_bytes(), 0);
+        let key = xxh3_64_with_seed(key.request_id.as_str().as_bytes(), customer);
+        let open = self.members.iter().filter(|(name, _)| !passed_over.contains(&name));
+        let best = open.max_by_key(|(_, hash)| xxh3_64_with_seed(&hash.to_le_bytes(), key));
+        best.map(|(name, _)| name)
+    }
+}
