--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets and tasks around the agent's core.
 
+mod index;
 mod orders;
 mod server;
 
@@ -36,6 +37,9 @@
 /// How long readers get to take the last of their answers after the work is done.
 const READER_GRACE: Duration = Duration::from_millis(300);
 
+/// How long an upstream may work on a request past its deadline.
+const OVERTIME: Duration = Duration::from_secs(5);
+
 /// Events of one request that wait for the core.
 const EVENT_QUEUE: usize = 64;
 
@@ -63,6 +67,8 @@
     core: Mutex<Core>,
     once: Mutex<Once>,
     orders: Mutex<Orders>,
+    /// Locked before the core where both are.
+    registry: Mutex<index::Registry>,
     upstream: Arc<dyn Upstream>,
     in_force: Arc<InForce>,
     peers: PeersHandle,
@@ -99,6 +105,7 @@
             core: Mutex::new(Core::new(self.settings.slots)),
             orders: Mutex::new(Orders::new(process.clone())),
             once: Mutex::new(Once::new(process.clone(), once::CAPACITY)),
+            registry: Mutex::new(index::Registry::new(&*self.clock)),
             settings: self.settings,
             process,
             clock: self.clock,
@@ -213,7 +220,10 @@
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     let key = dispatch.key.clone();
     let upstream = shared.upstream.clone();
-    let call = async move { upstream.start(&dispatch, sender).await };
+    let limit = dispatch.time_left + OVERTIME;
+    let call = async move {
+        let _ = tokio::time::timeout(limit, upstream.start(&dispatch, sender)).await;
+    };
     let take = async {
         while let Some(event) = events.recv().await {
             shared.once().on_upstream(&key, &event);
@@ -234,5 +244,6 @@
         let actions = shared.core().on_tick(shared.clock.now());
         shared.perform(actions);
         shared.forget_idle_wakers();
+        index::lock(&shared.registry).index.on_tick(shared.clock.now());
     }
 }
--- a/components/agent/tests/tiers.rs
+++ b/components/agent/tests/tiers.rs
@@ -27,6 +27,8 @@
             prompt_tokens,
             max_tokens: 10,
         }),
+        process: None,
+        registration: None,
     }
 }
 
@@ -44,7 +46,7 @@
 
 fn refusal_of(core: &Core, key: &RequestKey) -> Option<Refusal> {
     let mut cursor = Cursor::default();
-    while let ReadStep::Event(event) = core.read(key, &mut cursor) {
+    while let ReadStep::Event(event) = core.read(key, DispatchEpoch(1), &mut cursor) {
         if let AnswerEvent::Refused(refusal) = event {
             return Some(refusal);
         }
@@ -123,7 +125,11 @@
             0 => {
                 let id = self.tiers.len();
                 self.tiers.push(value % 4);
-                self.core.dispatch(model_call(id, value % 4, 100 + u32::from(value) * 100), now).1
+                let call = model_call(id, value % 4, 100 + u32::from(value) * 100);
+                let (_, actions) = self.core.dispatch(call, now);
+                // Somebody reads each answer, as an entry process does.
+                self.core.join_reader(&key(id));
+                actions
             }
             1 => self.say(value, UpstreamEvent::Finished),
             2 => self.say(value, UpstreamEvent::Data(Bytes::from_static(b"t"))),
--- a/components/replay/src/simulation/mod.rs
+++ b/components/replay/src/simulation/mod.rs
@@ -21,7 +21,7 @@
 use crate::policy::Policy;
 use crate::trace::{FaultKind, Trace};
 use entry::EntryState;
-use upstream::{UpstreamState, dispatch_of};
+use upstream::{FIRST_EPOCH, UpstreamState, dispatch_of};
 
 /// How often an agent is told the time.
 const TICK_US: u64 = 100_000;
@@ -217,9 +217,12 @@
         }
         let spec = &self.trace.requests[request];
         let left_us = (spec.at_us + spec.deadline_ms * 1_000).saturating_sub(self.now_us);
-        let dispatch = dispatch_of(key_of(spec.customer, request), spec, left_us);
+        let key = key_of(spec.customer, request);
+        let dispatch = dispatch_of(key.clone(), spec, left_us);
         let now = self.now();
-        let (admission, actions) = self.upstreams[upstream].core.dispatch(dispatch, now);
+        let core = &mut self.upstreams[upstream].core;
+        let (admission, actions) = core.dispatch(dispatch, now);
+        core.join_reader(&key);
         self.perform(upstream, actions, None);
         if let Admission::Refused(refusal) = admission {
             self.refused(request, upstream, &refusal);
@@ -359,7 +362,8 @@
         }
         self.end(request, if ran { End::Late } else { End::Shed });
         let now = self.now();
-        let actions = self.upstreams[upstream].core.cancel(&key_of(customer, request), now);
+        let key = key_of(customer, request);
+        let (_, actions) = self.upstreams[upstream].core.cancel(&key, FIRST_EPOCH, now);
         self.perform(upstream, actions, Some(request));
     }
 
--- a/components/wire/src/convert.rs
+++ b/components/wire/src/convert.rs
@@ -6,12 +6,12 @@
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{
     ConfigVersion, CustomerId, DispatchEpoch, FencingToken, ModelId, ProcessId, RequestId,
-    ServiceId, Tier,
+    ServiceId, Tier, UpstreamId,
 };
 
 use crate::event::{
-    AnswerEvent, Claim, Command, Dispatch, LoadDigest, ModelCall, Order, RequestKey, ServiceCall,
-    Work,
+    AnswerEvent, Claim, Command, Dispatch, Envelope, LoadDigest, ModelCall, Order, Registration,
+    RequestKey, ServiceCall, Work,
 };
 use crate::v1;
 
@@ -78,6 +78,8 @@
             configuration_version: dispatch.config_version.0,
             work: Some((&dispatch.work).into()),
             claim: None,
+            process: dispatch.process.as_ref().map_or_else(String::new, ProcessId::to_string),
+            registration: dispatch.registration.as_ref().map(Into::into),
         }
     }
 }
@@ -95,6 +97,52 @@
             time_left: Duration::from_millis(request.time_left_ms),
             config_version: ConfigVersion(request.configuration_version),
             work: request.work.ok_or(WireError::Missing("work"))?.into(),
+            process: Some(request.process).filter(|id| !id.is_empty()).map(ProcessId::new),
+            registration: request.registration.map(Into::into),
+        })
+    }
+}
+
+impl From<&Registration> for v1::Registration {
+    fn from(registration: &Registration) -> Self {
+        v1::Registration {
+            home: registration.home.to_string(),
+            process: registration.process.to_string(),
+            configuration_version: registration.config_version.0,
+        }
+    }
+}
+
+impl From<v1::Registration> for Registration {
+    fn from(registration: v1::Registration) -> Self {
+        Registration {
+            home: UpstreamId::new(registration.home),
+            process: ProcessId::new(registration.process),
+            config_version: ConfigVersion(registration.configuration_version),
+        }
+    }
+}
+
+impl From<Envelope> for v1::DispatchEvent {
+    fn from(envelope: Envelope) -> Self {
+        v1::DispatchEvent {
+            key: Some((&envelope.key).into()),
+            dispatch_epoch: envelope.epoch.0,
+            load: Some(envelope.load.into()),
+            event: Some((&envelope.event).into()),
+        }
+    }
+}
+
+impl TryFrom<v1::DispatchEvent> for Envelope {
+    type Error = WireError;
+
+    fn try_from(message: v1::DispatchEvent) -> Result<Self, WireError> {
+        Ok(Envelope {
+            key: message.key.ok_or(WireError::Missing("key"))?.into(),
+            epoch: DispatchEpoch(message.dispatch_epoch),
+            load: message.load.map(Into::into).unwrap_or_default(),
+            event: message.event.ok_or(WireError::Missing("event"))?.try_into()?,
         })
     }
 }
