--- a/components/entry/src/controllers/claims/mod.rs
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -21,6 +21,10 @@
 pub use settle::{Settlement, Unsettled, list_unsettled, read_claim, settle_claim};
 pub use sweep::{KEEP_RAN, is_expired, sweep_shard};
 
+/// The epoch of each dispatch under a claim: its key is made of the claim's revision, so that no
+/// two dispatches share one.
+pub const CLAIMED_EPOCH: DispatchEpoch = DispatchEpoch(1);
+
 /// Largest answer that is kept in a claim.
 pub const ANSWER_LIMIT_BYTES: usize = 16 * 1024;
 
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -1,13 +1,19 @@
 //! Sockets and tasks around filters and controllers.
 
 mod agents;
+mod answer;
+mod booking;
 mod callers;
 mod claims;
+mod contact;
 mod decisions;
+mod delivery;
 mod metrics;
 mod operators;
 mod peer_listener;
 mod refresh;
+mod registrar;
+mod target;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -67,7 +73,7 @@
     pub(crate) decisions: decisions::Decisions,
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
-    pub(crate) agent_processes: claims::AgentProcesses,
+    pub(crate) homes: registrar::HomesCache,
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -102,8 +108,8 @@
             decisions: decisions::Decisions::default(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
-            agent_processes: claims::AgentProcesses::default(),
             process: ProcessId::random(),
+            homes: registrar::HomesCache::default(),
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
--- a/components/entry/tests/claims.rs
+++ b/components/entry/tests/claims.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use clock::{Clock, ManualClock};
 use entry::controllers::claims::{
-    AgentWord, Claim, Claiming, Event, KEEP_RAN, Next, Start, State, Writer, call_digest,
-    is_expired,
+    AgentWord, CLAIMED_EPOCH, Claim, Claiming, Event, KEEP_RAN, Next, Start, State, Writer,
+    call_digest, is_expired,
 };
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{ConfigVersion, CustomerId, ProcessId, ServiceId, Tier, UpstreamId};
@@ -309,7 +309,7 @@
         let index = index_of(&claim);
         let key = claim.request_key(revision);
         requester.dispatched.insert(key.clone());
-        let message = dispatch_of(&key, &claim);
+        let message = dispatch_of(&key);
         let for_agent = claim.for_agent(revision);
         if self.chance(5) {
             self.count("late_dispatches");
@@ -410,7 +410,7 @@
             Without::ProcessCheck => claim.agent_process.clone(),
             _ => agent.process.clone(),
         };
-        let core = agent.core.settle(&key, now);
+        let core = agent.core.settle(&key, CLAIMED_EPOCH, now);
         let word = agent.once.settle(&key, &claim.for_agent(revision), core);
         if without == Without::Tombstone && word == Settled::Known(Settlement::Withdrawn) {
             agent.once = Once::new(agent.process.clone(), AGENT_CAPACITY);
@@ -487,14 +487,16 @@
     claim.upstream.as_str().parse().expect("upstreams are numbered")
 }
 
-fn dispatch_of(key: &RequestKey, claim: &Claim) -> Dispatch {
+fn dispatch_of(key: &RequestKey) -> Dispatch {
     Dispatch {
         key: key.clone(),
-        epoch: claim.epoch,
+        epoch: CLAIMED_EPOCH,
         tier: Tier(1),
         time_left: Duration::from_secs(30),
         config_version: ConfigVersion(1),
         work: Work::Service(call()),
+        process: None,
+        registration: None,
     }
 }
 
--- a/components/measure/src/dispatches.rs
+++ b/components/measure/src/dispatches.rs
@@ -50,6 +50,8 @@
         tier: Tier(2),
         time_left: Duration::from_secs(60),
         config_version: ConfigVersion(1),
+        process: None,
+        registration: None,
         work: Work::Model(ModelCall {
             model: ModelId::new("model-1"),
             body: Bytes::from(vec![b'x'; BODY_BYTES]),
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -6,7 +6,7 @@
 use errors::Refusal;
 use identity::{
     ConfigVersion, CustomerId, DispatchEpoch, FencingToken, ModelId, ProcessId, RequestId,
-    ServiceId, Tier,
+    ServiceId, Tier, UpstreamId,
 };
 
 /// A request is known by its customer and its id together.
@@ -33,6 +33,21 @@
     pub config_version: ConfigVersion,
     /// What is to be done.
     pub work: Work,
+    /// The process of the agent that this is meant for.
+    pub process: Option<ProcessId>,
+    /// Where the placement is recorded, if the caller may ask again.
+    pub registration: Option<Registration>,
+}
+
+/// Where the placement of a request is recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registration {
+    /// The upstream whose agent holds the record.
+    pub home: UpstreamId,
+    /// The process of that agent.
+    pub process: ProcessId,
+    /// The configuration that the home follows from.
+    pub config_version: ConfigVersion,
 }
 
 /// The claim in the platform's store that allows one dispatch of a non-idempotent call.
@@ -156,3 +171,16 @@
     /// Give up a model.
     UnloadModel(ModelId),
 }
+
+/// An event with the dispatch that it belongs to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Envelope {
+    /// Which request.
+    pub key: RequestKey,
+    /// Which dispatch of it.
+    pub epoch: DispatchEpoch,
+    /// Load of the agent.
+    pub load: LoadDigest,
+    /// The event.
+    pub event: AnswerEvent,
+}
