--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -1,6 +1,9 @@
 //! The agent's decisions: what waits, what runs, what was refused, and what each reader is due.
 
 mod held;
+mod in_flight;
+mod overdue;
+mod preempt;
 mod record;
 mod transcript;
 
@@ -9,11 +12,13 @@
 
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{DispatchEpoch, Tier};
+use schedule::pace::Pace;
 use schedule::queue::Queue;
 use wire::{Dispatch, LoadDigest, RequestKey, Work};
 
 use held::HeldAnswers;
 pub use held::HeldLimits;
+use in_flight::InFlight;
 use record::{Record, State};
 pub use transcript::{Cursor, ReadStep};
 
@@ -27,6 +32,9 @@
 /// How long a model request goes on while nobody reads its answer.
 const KEEP_UNREAD: Duration = Duration::from_secs(10);
 
+/// Stands for any dispatch of a request.
+pub const ANY_EPOCH: DispatchEpoch = DispatchEpoch(0);
+
 /// Longest answer that is held.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 
@@ -88,11 +96,41 @@
     NotRun,
 }
 
+/// Which rules of the agent are on; all are, but where the cost of one is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AgentRules {
+    /// What runs of lower tiers gives way to the highest.
+    pub preempt: bool,
+    /// A long prompt waits while one of its own or a higher tier is in prefill.
+    pub single_prefill: bool,
+    /// The limit in flight follows the time between tokens.
+    pub adapt_limit: bool,
+    /// Work that can no longer finish in time is answered at once.
+    pub drop_hopeless: bool,
+}
+
+impl Default for AgentRules {
+    fn default() -> Self {
+        AgentRules { preempt: true, single_prefill: true, adapt_limit: true, drop_hopeless: true }
+    }
+}
+
+impl AgentRules {
+    /// Every rule off: a plain queue before a fixed number of slots.
+    pub const OFF: AgentRules = AgentRules {
+        preempt: false,
+        single_prefill: false,
+        adapt_limit: false,
+        drop_hopeless: false,
+    };
+}
+
 /// The state of one agent.
 #[derive(Debug)]
 pub struct Core {
-    limit: u32,
-    running: u32,
+    rules: AgentRules,
+    pace: Pace,
+    in_flight: InFlight,
     leaving: bool,
     queue: Queue<RequestKey>,
     records: HashMap<RequestKey, Record>,
@@ -102,21 +140,27 @@
 impl Core {
     /// An agent that hands over at most `limit` requests at once.
     pub fn new(limit: u32) -> Core {
-        Core::with_held_limits(limit, HeldLimits::default())
+        Core::with_rules(limit, AgentRules::default())
     }
 
-    /// The same with bounds of its own on the answers that are held.
-    pub fn with_held_limits(limit: u32, held: HeldLimits) -> Core {
+    /// An agent with some rules switched off.
+    pub fn with_rules(limit: u32, rules: AgentRules) -> Core {
         Core {
-            limit,
-            running: 0,
+            rules,
+            pace: Pace::new(limit),
+            in_flight: InFlight::default(),
             leaving: false,
             queue: Queue::new(),
             records: HashMap::new(),
-            held: HeldAnswers::new(held),
+            held: HeldAnswers::new(HeldLimits::default()),
         }
     }
 
+    /// An agent with bounds of its own on the answers that are held.
+    pub fn with_held_limits(limit: u32, held: HeldLimits) -> Core {
+        Core { held: HeldAnswers::new(held), ..Core::new(limit) }
+    }
+
     /// Takes a request, or says why not.
     pub fn dispatch(&mut self, dispatch: Dispatch, now: Instant) -> (Admission, Vec<Action>) {
         if let Some(record) = self.records.get(&dispatch.key)
@@ -129,9 +173,14 @@
             return (Admission::Refused(refusal), Vec::new());
         }
         let deadline = now + dispatch.time_left;
+        let latest_start = self.latest_start(&dispatch, deadline);
+        if latest_start <= now && latest_start < deadline {
+            let refusal = overdue::too_late(dispatch.key.request_id.as_str());
+            return (Admission::Refused(refusal), Vec::new());
+        }
         let key = dispatch.key.clone();
-        self.queue.push(key.clone(), dispatch.tier, deadline);
-        self.records.insert(key, Record::queued(dispatch, deadline, now));
+        self.queue.push(key.clone(), dispatch.tier, latest_start);
+        self.records.insert(key, Record::queued(dispatch, deadline));
         (Admission::Held, self.fill(now))
     }
 
@@ -147,30 +196,36 @@
             return Vec::new();
         }
         let mut actions = vec![Action::Wake(key.clone())];
+        self.in_flight.observe(key, &event, &mut self.pace, now);
         let is_data = matches!(event, UpstreamEvent::Data(_));
         if record.take_upstream_event(event, now) {
             if is_data {
                 actions.push(Action::Abort(key.clone()));
             }
-            self.running -= 1;
+            self.in_flight.remove(key);
             self.hold(key, now);
             actions.extend(self.fill(now));
         }
         actions
     }
 
-    /// Says what became of a request; a dispatch never seen is refused from now on.
+    /// Says what became of a request; a dispatch never seen is refused from now on. Epoch 0 stands
+    /// for any.
     pub fn settle(&mut self, key: &RequestKey, epoch: DispatchEpoch, now: Instant) -> Settlement {
         match self.records.get(key) {
+            Some(record) if epoch == ANY_EPOCH => record.settlement(),
+            None if epoch == ANY_EPOCH => self.withdraw(key, DispatchEpoch(u64::MAX), now),
             Some(record) if record.epoch > epoch => Settlement::NotRun,
             Some(record) if !record.gives_way_to(epoch) => record.settlement(),
-            _ => {
-                self.records.insert(key.clone(), Record::withdrawn(epoch, now));
-                Settlement::Withdrawn
-            }
+            _ => self.withdraw(key, epoch, now),
         }
     }
 
+    fn withdraw(&mut self, key: &RequestKey, epoch: DispatchEpoch, now: Instant) -> Settlement {
+        self.records.insert(key.clone(), Record::withdrawn(epoch, now));
+        Settlement::Withdrawn
+    }
+
     /// Ends a request whose caller is gone, and says how far it had come.
     pub fn cancel(
         &mut self,
@@ -200,7 +255,7 @@
             return Vec::new();
         }
         record.end(Refusal::new(ResultCode::Withdrawn, Outcome::Ran), now);
-        self.running -= 1;
+        self.in_flight.remove(key);
         self.hold(key, now);
         let mut actions = vec![Action::Abort(key.clone()), Action::Wake(key.clone())];
         actions.extend(self.fill(now));
@@ -258,13 +313,10 @@
 
     /// Does what time brings: overdue requests are answered, old answers dropped.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for key in self.queue.take_overdue(now) {
-            if let Some(record) = self.records.get_mut(&key) {
-                record.end_not_run(Refusal::not_run(ResultCode::DeadlinePassed), now);
-                actions.push(Action::Wake(key));
-            }
+        if self.rules.adapt_limit {
+            self.pace.adjust(self.in_flight.len(), !self.queue.is_empty(), now);
         }
+        let mut actions = self.fill(now);
         actions.extend(self.cancel_unread(now));
         for key in self.held.take_expired(now) {
             self.evict(&key);
@@ -312,29 +364,27 @@
 
     /// Whether nothing waits or runs.
     pub fn is_idle(&self) -> bool {
-        self.running == 0 && self.queue.is_empty()
+        self.in_flight.len() == 0 && self.queue.is_empty()
     }
 
     /// Load at this moment.
     pub fn load(&self) -> LoadDigest {
+        let speed = self.pace.speed();
         let mut load = LoadDigest {
             queued: self.queue.len() as u32,
-            running: self.running,
-            limit: self.limit,
+            running: self.in_flight.len(),
+            limit: self.pace.limit(),
             leaving: self.leaving,
-            ..LoadDigest::default()
+            queued_prefill_tokens: self.in_flight.prefill_left(),
+            remaining_decode_tokens: self.in_flight.decode_left(),
+            prefill_tokens_per_s: speed.prefill_tokens_per_s,
+            decode_tokens_per_s: speed.decode_tokens_per_s,
         };
-        for record in self.records.values() {
-            let Some(Work::Model(call)) = record.dispatch.as_deref().map(|d| &d.work) else {
-                continue;
-            };
-            match record.state {
-                State::Queued => {
-                    load.queued_prefill_tokens += u64::from(call.prompt_tokens);
-                    load.remaining_decode_tokens += u64::from(call.max_tokens);
-                }
-                State::Running => load.remaining_decode_tokens += u64::from(call.max_tokens),
-                _ => {}
+        for key in self.queue.iter() {
+            let dispatch = self.records.get(key).and_then(|record| record.dispatch.as_deref());
+            if let Some(Work::Model(call)) = dispatch.map(|dispatch| &dispatch.work) {
+                load.queued_prefill_tokens += u64::from(call.prompt_tokens);
+                load.remaining_decode_tokens += u64::from(call.max_tokens);
             }
         }
         load
@@ -346,20 +396,33 @@
     }
 
     fn fill(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while self.running < self.limit {
-            let Some(key) = self.queue.pop() else { break };
-            let Some(record) = self.records.get_mut(&key) else { continue };
-            if record.deadline <= now {
-                record.end_not_run(Refusal::not_run(ResultCode::DeadlinePassed), now);
-                actions.push(Action::Wake(key));
-                continue;
+        let mut actions = self.answer_overdue(now);
+        loop {
+            if self.in_flight.len() >= self.pace.limit() {
+                let Some(given_way) = self.make_room(now) else { break };
+                actions.extend(given_way);
             }
+            let Some(key) = self.next_to_start(now) else { break };
+            let Some(record) = self.records.get_mut(&key) else { continue };
             if let Some(dispatch) = record.start() {
-                self.running += 1;
+                self.in_flight.add(&dispatch, now);
                 actions.push(Action::Start(dispatch));
             }
         }
         actions
     }
+
+    /// Takes the first in the queue that may start now.
+    fn next_to_start(&mut self, now: Instant) -> Option<RequestKey> {
+        let busy = match self.in_flight.tier_in_prefill(&self.pace, now) {
+            Some(tier) if self.rules.single_prefill => tier,
+            _ => return self.queue.pop(),
+        };
+        let records = &self.records;
+        self.queue.pop_first(|key| {
+            let dispatch = records.get(key).and_then(|record| record.dispatch.as_deref());
+            dispatch
+                .is_none_or(|dispatch| dispatch.tier < busy || !in_flight::holds_prefill(dispatch))
+        })
+    }
 }
--- a/components/agent/src/core/record.rs
+++ b/components/agent/src/core/record.rs
@@ -38,10 +38,10 @@
 }
 
 /// Who reads the answer.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Readers {
     count: u32,
-    none_since: Instant,
+    last_left_at: Option<Instant>,
 }
 
 impl Readers {
@@ -51,7 +51,7 @@
 
     pub(super) fn leave(&mut self, now: Instant) {
         self.count = self.count.saturating_sub(1);
-        self.none_since = now;
+        self.last_left_at = Some(now);
     }
 
     pub(super) fn are_there(&self) -> bool {
@@ -59,19 +59,20 @@
     }
 
     pub(super) fn are_gone(&self, now: Instant) -> bool {
-        self.count == 0 && now.saturating_duration_since(self.none_since) > KEEP_UNREAD
+        let long_ago = |at| now.saturating_duration_since(at) > KEEP_UNREAD;
+        self.count == 0 && self.last_left_at.is_some_and(long_ago)
     }
 }
 
 impl Record {
-    pub(super) fn queued(dispatch: Dispatch, deadline: Instant, now: Instant) -> Record {
+    pub(super) fn queued(dispatch: Dispatch, deadline: Instant) -> Record {
         Record {
             state: State::Queued,
             epoch: dispatch.epoch,
             dispatch: Some(Box::new(dispatch)),
             deadline,
             transcript: Transcript::default(),
-            readers: Readers { count: 0, none_since: now },
+            readers: Readers::default(),
             ended_at: None,
         }
     }
@@ -83,7 +84,7 @@
             epoch,
             deadline: now,
             transcript: Transcript::default(),
-            readers: Readers { count: 0, none_since: now },
+            readers: Readers::default(),
             ended_at: Some(now),
         };
         record.transcript.refuse(Refusal::not_run(ResultCode::Withdrawn));
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets and tasks around the agent's core.
 
 mod index;
+mod orders;
 mod server;
 
 use std::collections::HashMap;
@@ -10,15 +11,19 @@
 
 use anyhow::{Context, Result};
 use clock::Clock;
+use configuration::InForce;
 use identity::ProcessId;
 use log::{debug, info};
+use peers::{Peers, PeersHandle};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 use web::Client;
 use wire::{Dispatch, RequestKey};
 
+use crate::controllers::once::{self, Once};
+use crate::controllers::orders::Orders;
 use crate::core::{Action, Core, UpstreamEvent};
 use crate::upstream::{HttpEngine, HttpService, Upstream};
 use crate::{Settings, UpstreamSettings};
@@ -62,7 +67,11 @@
     core: Mutex<Core>,
     /// Locked before the core where both are.
     registry: Mutex<index::Registry>,
+    once: Mutex<Once>,
+    orders: Mutex<Orders>,
     upstream: Arc<dyn Upstream>,
+    in_force: Arc<InForce>,
+    peers: PeersHandle,
     wakers: Mutex<HashMap<RequestKey, watch::Sender<u64>>>,
     running: Mutex<HashMap<RequestKey, JoinHandle<()>>>,
 }
@@ -81,18 +90,34 @@
             .await
             .with_context(|| format!("{}: cannot be bound", self.settings.listen))?;
         let address = listener.local_addr()?;
+        let process = ProcessId::random();
+        let in_force = Arc::new(InForce::new());
+        let peers = Peers {
+            own: Some(address),
+            listed: self.settings.peers.clone(),
+            zone: self.settings.zone.clone(),
+            store: None,
+            in_force: in_force.clone(),
+            clock: self.clock.clone(),
+        }
+        .spawn();
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
             registry: Mutex::new(index::Registry::new(&*self.clock)),
+            orders: Mutex::new(Orders::new(process.clone())),
+            once: Mutex::new(Once::new(process.clone(), once::CAPACITY)),
             settings: self.settings,
-            process: ProcessId::random(),
+            process,
             clock: self.clock,
             upstream,
+            in_force,
+            peers,
             wakers: Mutex::default(),
             running: Mutex::default(),
         });
         let (stop, stopped) = watch::channel(false);
-        let incoming = TcpListenerStream::new(listener);
+        // The server's own setting holds only for listeners that it binds itself.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let server = tokio::spawn(server::serve(shared.clone(), incoming, stopped));
         let ticker = tokio::spawn(tick(shared.clone()));
         info!("agent upstream={} listen={address}", shared.settings.upstream);
@@ -116,6 +141,7 @@
         let _ = self.stop.send(true);
         let _ = self.server.await;
         self.ticker.abort();
+        self.shared.peers.stop();
     }
 }
 
@@ -124,6 +150,14 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn once(&self) -> MutexGuard<'_, Once> {
+        lock(&self.once)
+    }
+
+    pub(crate) fn orders(&self) -> MutexGuard<'_, Orders> {
+        lock(&self.orders)
+    }
+
     /// A receiver that changes whenever the request's transcript may have grown.
     pub(crate) fn subscribe(&self, key: &RequestKey) -> watch::Receiver<u64> {
         let mut wakers = lock(&self.wakers);
@@ -152,6 +186,7 @@
 
     fn start(self: &Arc<Self>, dispatch: Dispatch) {
         let key = dispatch.key.clone();
+        self.once().on_start(&key);
         debug!("request={} handed to {}", key.request_id, self.settings.upstream);
         let task = tokio::spawn(run_request(self.clone(), dispatch));
         lock(&self.running).insert(key, task);
@@ -191,6 +226,7 @@
     };
     let take = async {
         while let Some(event) = events.recv().await {
+            shared.once().on_upstream(&key, &event);
             let actions = shared.core().on_upstream(&key, event, shared.clock.now());
             shared.perform(actions);
         }
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -8,14 +8,16 @@
 use log::warn;
 use registry::Standing;
 use tokio::sync::{mpsc, watch};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
 use wire::v1::index_server::IndexServer;
-use wire::{AnswerEvent, Dispatch, Envelope, RequestKey, v1};
+use wire::{AnswerEvent, Claim, Dispatch, Envelope, Order, RequestKey, v1};
 
-use super::{Shared, index};
-use crate::core::{Action, Admission, Cursor, ReadStep, Settlement};
+use super::{Shared, index, orders};
+use crate::controllers::once::{Admit, Settled};
+use crate::core::{ANY_EPOCH, Action, Admission, Cursor, ReadStep, Settlement};
 
 /// Events on their way to one entry process.
 const STREAM_QUEUE: usize = 32;
@@ -37,17 +39,18 @@
 
 pub(super) async fn serve(
     shared: Arc<Shared>,
-    incoming: TcpListenerStream,
+    incoming: TcpIncoming,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let peer_service = shared.peers.service();
     let index = IndexServer::new(index::Rpc { shared: shared.clone() });
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT))
         .add_service(service)
         .add_service(index)
+        .add_service(peer_service)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
         })
@@ -66,12 +69,22 @@
         &self,
         request: Request<v1::DispatchRequest>,
     ) -> Result<Response<EventStream>, Status> {
-        let dispatch: Dispatch = request.into_inner().try_into().map_err(invalid)?;
+        let mut request = request.into_inner();
+        let claim = request.claim.take().map(Claim::from);
+        let dispatch: Dispatch = request.try_into().map_err(invalid)?;
+        self.shared.peers.hear(dispatch.config_version, None);
         let (key, epoch) = (dispatch.key.clone(), dispatch.epoch);
         if dispatch.process.as_ref().is_some_and(|process| *process != self.shared.process) {
             let refusal = Refusal::not_run(ResultCode::NoUpstream);
             return Ok(Response::new(self.refuse(&key, epoch, refusal)));
         }
+        match claim.map(|claim| self.shared.once().admit(&key, &claim)) {
+            Some(Admit::Refuse(refusal)) => {
+                return Ok(Response::new(self.refuse(&key, epoch, refusal)));
+            }
+            Some(Admit::Seen) => return Ok(Response::new(self.read_held(key, 0)?)),
+            Some(Admit::Pass) | None => {}
+        }
         let (admission, actions) = self.admit(dispatch);
         self.shared.perform(actions);
         let stream = match admission {
@@ -88,7 +101,8 @@
         let request = request.into_inner();
         let key = required_key(request.key)?;
         let held = self.shared.core().epoch_of(&key);
-        if held != Some(DispatchEpoch(request.dispatch_epoch)) {
+        let wanted = DispatchEpoch(request.dispatch_epoch);
+        if held.is_none() || (wanted != ANY_EPOCH && held != Some(wanted)) {
             return Err(Status::not_found("this dispatch is not held"));
         }
         Ok(Response::new(self.read_held(key, request.offset_bytes)?))
@@ -104,9 +118,16 @@
             v1::RequestState::OtherProcess
         } else {
             let epoch = DispatchEpoch(request.dispatch_epoch);
-            state_of(self.shared.core().settle(&key, epoch, self.shared.clock.now()))
+            let settlement = self.shared.core().settle(&key, epoch, self.shared.clock.now());
+            state_of(match request.claim.map(Claim::from) {
+                Some(claim) => self.shared.once().settle(&key, &claim, settlement),
+                None => Settled::Known(settlement),
+            })
         };
-        Ok(Response::new(v1::SettleReply { state: state.into() }))
+        Ok(Response::new(v1::SettleReply {
+            state: state.into(),
+            process: self.shared.process.as_str().to_owned(),
+        }))
     }
 
     async fn cancel(
@@ -122,7 +143,7 @@
         let epoch = DispatchEpoch(request.dispatch_epoch);
         let (settlement, actions) = self.shared.core().cancel(&key, epoch, self.shared.clock.now());
         self.shared.perform(actions);
-        Ok(Response::new(v1::CancelReply { state: state_of(settlement).into() }))
+        Ok(Response::new(v1::CancelReply { state: state_of(Settled::Known(settlement)).into() }))
     }
 
     async fn report(
@@ -132,10 +153,20 @@
         Ok(Response::new(v1::ReportReply {
             upstream: self.shared.settings.upstream.as_str().to_owned(),
             process: self.shared.process.as_str().to_owned(),
-            configuration_version: 0,
+            configuration_version: self.shared.in_force.version().0,
             load: Some(self.shared.core().load().into()),
         }))
     }
+
+    async fn order(
+        &self,
+        request: Request<v1::OrderRequest>,
+    ) -> Result<Response<v1::OrderReply>, Status> {
+        let order: Order = request.into_inner().try_into().map_err(invalid)?;
+        let result = orders::pass_on(self.shared.clone(), order).await;
+        let refused = result.err().map(|refusal| (&refusal).into());
+        Ok(Response::new(v1::OrderReply { refused }))
+    }
 }
 
 impl Rpc {
@@ -172,16 +203,6 @@
     }
 }
 
-fn state_of(settlement: Settlement) -> v1::RequestState {
-    match settlement {
-        Settlement::Withdrawn => v1::RequestState::Withdrawn,
-        Settlement::Queued => v1::RequestState::Queued,
-        Settlement::Running => v1::RequestState::Running,
-        Settlement::Finished => v1::RequestState::Finished,
-        Settlement::NotRun => v1::RequestState::NotRun,
-    }
-}
-
 /// One reader of a dispatch; the core knows of it until it is dropped.
 struct Reader {
     shared: Arc<Shared>,
@@ -248,6 +269,18 @@
     Envelope { key: key.clone(), epoch, load, event }.into()
 }
 
+fn state_of(settled: Settled) -> v1::RequestState {
+    match settled {
+        Settled::Known(Settlement::Withdrawn) => v1::RequestState::Withdrawn,
+        Settled::Known(Settlement::Queued) => v1::RequestState::Queued,
+        Settled::Known(Settlement::Running) => v1::RequestState::Running,
+        Settled::Known(Settlement::Finished) => v1::RequestState::Finished,
+        Settled::Known(Settlement::NotRun) => v1::RequestState::NotRun,
+        Settled::Ran => v1::RequestState::Ran,
+        Settled::Unknown => v1::RequestState::Unknown,
+    }
+}
+
 pub(super) fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
     key.map(RequestKey::from).ok_or_else(|| Status::invalid_argument("key is missing"))
 }
--- a/components/entry/src/filters/dispatch.rs
+++ b/components/entry/src/filters/dispatch.rs
@@ -113,6 +113,12 @@
         Dispatch { key, placements: 1, lost_contacts: 0, sent: false, joined: false, relay }
     }
 
+    /// Follows the request under another key; a claim gives one of its own.
+    pub fn rename(&mut self, key: RequestKey) {
+        self.key = key;
+        self.follow(self.epoch());
+    }
+
     /// The dispatch that is followed.
     pub fn epoch(&self) -> DispatchEpoch {
         self.relay.epoch()
--- a/components/entry/src/shell/contact.rs
+++ b/components/entry/src/shell/contact.rs
@@ -7,6 +7,7 @@
 use wire::{Envelope, Registration, v1};
 
 use super::agents::is_not_sent;
+use super::claims::OnceOnly;
 use super::delivery::Delivery;
 use super::target::Target;
 use crate::filters::dispatch::{Event, Settled};
@@ -22,7 +23,7 @@
 
 /// How a request gets to an upstream.
 pub(super) enum Start {
-    HandOver { registration: Option<Registration> },
+    HandOver { registration: Option<Registration>, claim: Option<v1::Claim> },
     Join,
 }
 
@@ -45,11 +46,11 @@
         start: Start,
         stream: &mut Option<Events>,
     ) -> Event {
-        let Start::HandOver { registration } = start else {
+        let Start::HandOver { registration, claim } = start else {
             *stream = self.join(target, 0).await;
             return if stream.is_some() { Event::Sent } else { Event::ContactLost };
         };
-        match self.hand_over(target, registration).await {
+        match self.hand_over(target, registration, claim).await {
             Opened::Stream(opened) => {
                 *stream = Some(*opened);
                 Event::Sent
@@ -63,8 +64,13 @@
         }
     }
 
-    async fn hand_over(&self, target: &Target, registration: Option<Registration>) -> Opened {
-        let message = self.message(target, registration);
+    async fn hand_over(
+        &self,
+        target: &Target,
+        registration: Option<Registration>,
+        claim: Option<v1::Claim>,
+    ) -> Opened {
+        let message = v1::DispatchRequest { claim, ..self.message(target, registration) };
         let mut client = target.connection.client.clone();
         match tokio::time::timeout(SILENCE_LIMIT, client.dispatch(message)).await {
             Ok(Ok(opened)) => Opened::Stream(Box::new(opened.into_inner())),
@@ -91,7 +97,7 @@
             () = target.connection.wait_until_replaced() => {
                 return Heard::Event(Event::ContactLost);
             }
-            () = self.answer.wait_until_gone() => return Heard::CallerGone,
+            () = self.answer.wait_until_gone(), if self.once.is_none() => return Heard::CallerGone,
         };
         Heard::Event(match message {
             Ok(Ok(Some(message))) => match Envelope::try_from(message) {
@@ -129,11 +135,16 @@
         let request = v1::SettleRequest {
             key: Some((&self.key).into()),
             dispatch_epoch: self.dispatch.epoch().0,
-            process: target.process.to_string(),
+            process: self.named_process(target),
+            claim: self.once.as_ref().and_then(OnceOnly::claim),
         };
         let mut client = target.connection.client.clone();
         let reply = tokio::time::timeout(ASK_TIMEOUT, client.settle(request)).await.ok()?.ok()?;
-        settled(reply.into_inner().state())
+        let reply = reply.into_inner();
+        if self.once.as_ref().is_some_and(|once| !once.is_named(&reply.process)) {
+            return None;
+        }
+        settled(reply.state())
     }
 
     pub(super) async fn join(&self, target: &Target, offset_bytes: u64) -> Option<Events> {
@@ -150,8 +161,10 @@
     /// Ends the request at the agent, which says how far it had come. One that was joined is left
     /// to whoever else may read it.
     pub(super) async fn cancel(&self, target: &Target) -> Option<Settled> {
-        if self.dispatch.is_joined() {
-            return self.settle(target).await;
+        if self.dispatch.is_joined() || self.once.is_some() {
+            // A call of a plain service that runs has not been ended by this.
+            let is_open = |settled: &Settled| *settled != Settled::Running || self.is_model();
+            return self.settle(target).await.filter(is_open);
         }
         let request = v1::CancelRequest {
             key: Some((&self.key).into()),
@@ -170,6 +183,11 @@
         }
     }
 
+    /// The process that a question is meant for; a claim names its own.
+    fn named_process(&self, target: &Target) -> String {
+        if self.once.is_some() { String::new() } else { target.process.to_string() }
+    }
+
     fn message(&self, target: &Target, registration: Option<Registration>) -> v1::DispatchRequest {
         let dispatch = wire::Dispatch {
             key: self.key.clone(),
@@ -178,7 +196,7 @@
             time_left: self.time_left(),
             config_version: self.shared.in_force.version(),
             work: self.job.work.clone(),
-            process: Some(target.process.clone()),
+            process: self.once.is_none().then(|| target.process.clone()),
             registration,
         };
         (&dispatch).into()
@@ -192,6 +210,6 @@
         v1::RequestState::Running => Some(Settled::Running),
         v1::RequestState::Finished => Some(Settled::Finished),
         v1::RequestState::OtherProcess => Some(Settled::ProcessGone),
-        v1::RequestState::Unspecified => None,
+        v1::RequestState::Ran | v1::RequestState::Unknown | v1::RequestState::Unspecified => None,
     }
 }
--- a/components/entry/src/shell/delivery.rs
+++ b/components/entry/src/shell/delivery.rs
@@ -4,19 +4,21 @@
 use std::time::{Duration, Instant};
 
 use errors::{Outcome, Refusal, ResultCode};
-use identity::{DispatchEpoch, UpstreamId};
+use identity::{DispatchEpoch, RequestId, UpstreamId};
 use log::info;
 use registry::{Placed, Wish};
 use tokio::sync::mpsc;
 use web::Request;
-use wire::RequestKey;
+use wire::{AnswerEvent, Envelope, RequestKey, Work, v1};
 
 use super::Shared;
 use super::answer::{AnswerSink, Given, OpeningSender};
+use super::claims::{Acquired, OnceOnly};
 use super::contact::{Heard, Start};
 use super::registrar::{self, Located};
 use super::target::Target;
 use crate::filters::dispatch::{Dispatch, Event, Next};
+use crate::filters::relay::ANY_EPOCH;
 use crate::filters::{Exchange, Job, View};
 
 pub(super) use super::answer::Opening;
@@ -24,6 +26,9 @@
 /// When to come back to a process that has no configuration yet.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
+/// How often a non-idempotent call is claimed for one upstream.
+const CLAIM_LIMIT: u32 = 4;
+
 /// When to come back where the placement of a request cannot be learnt.
 const UNCLEAR_WAIT: Duration = Duration::from_secs(2);
 
@@ -43,6 +48,10 @@
     /// Where the request is recorded as placed.
     superseded: Option<Placed>,
     pub(super) answer: AnswerSink,
+    /// Set for a non-idempotent call.
+    pub(super) once: Option<OnceOnly>,
+    /// The id that the caller knows the request by; `key` is its identity at the agent.
+    request_id: RequestId,
 }
 
 /// How a request ended, on one upstream or for good.
@@ -74,7 +83,15 @@
             }
         };
         let answer = AnswerSink::new(key.request_id.to_string(), job.streamed, opening, pieces);
+        let once = match &job.work {
+            Work::Service(call) if job.once_only => {
+                Some(OnceOnly::new(shared.clone(), &key, call, arrived + job.deadline))
+            }
+            _ => None,
+        };
         let mut delivery = Delivery {
+            once,
+            request_id: key.request_id.clone(),
             shared,
             request,
             deadline: arrived + job.deadline,
@@ -94,7 +111,7 @@
     async fn run(&mut self, mut upstream: UpstreamId) {
         loop {
             self.at = upstream.clone();
-            match self.try_upstream(&upstream).await {
+            match self.attempt(&upstream).await {
                 End::PlaceAgain if self.dispatch.is_joined() => {}
                 End::PlaceAgain => self.excluded.push(self.at.clone()),
                 End::RegisterAgain => self.superseded = None,
@@ -109,6 +126,70 @@
         }
     }
 
+    /// Claims a non-idempotent call, then follows the request. Where the agent refused the claim
+    /// itself, because another asked after it or the agent is a new process, it is claimed anew.
+    async fn attempt(&mut self, upstream: &UpstreamId) -> End {
+        if self.once.is_none() {
+            return self.try_upstream(upstream).await;
+        }
+        for _ in 1..CLAIM_LIMIT {
+            let end = self.attempt_claimed(upstream).await;
+            if !matches!(&end, End::Refused(refusal) if is_withdrawn(refusal)) {
+                return end;
+            }
+        }
+        self.attempt_claimed(upstream).await
+    }
+
+    async fn attempt_claimed(&mut self, upstream: &UpstreamId) -> End {
+        let Some(once) = &mut self.once else { return End::PlaceAgain };
+        let acquired = once.acquire(upstream).await;
+        if let Some(key) = once.request_key() {
+            self.dispatch.rename(key.clone());
+            self.key = key;
+        }
+        let end = match acquired {
+            Acquired::Dispatch(claim) => self.follow_claimed(upstream, claim).await,
+            Acquired::Join(upstream) => self.join_claimed(&upstream).await,
+            Acquired::PlaceAgain => self.not_sent(),
+            Acquired::Replay(answer) => {
+                self.on_head(answer.status, answer.content_type);
+                self.answer.push(answer.body.into()).await;
+                End::Whole
+            }
+            Acquired::Refused(refusal) => End::Refused(refusal),
+        };
+        if let (End::PlaceAgain | End::Refused(_), Some(once)) = (&end, &self.once) {
+            once.forget_process(upstream);
+        }
+        end
+    }
+
+    async fn follow_claimed(&mut self, upstream: &UpstreamId, claim: v1::Claim) -> End {
+        match Target::connect(&self.shared, upstream).await {
+            Ok(target) => {
+                let start = Start::HandOver { registration: None, claim: Some(claim) };
+                self.follow(target, start).await
+            }
+            Err(_) => self.not_sent(),
+        }
+    }
+
+    async fn join_claimed(&mut self, upstream: &UpstreamId) -> End {
+        self.dispatch.join(ANY_EPOCH);
+        match Target::connect(&self.shared, upstream).await {
+            Ok(target) => self.follow(target, Start::Join).await,
+            Err(_) => End::Refused(unclear()),
+        }
+    }
+
+    fn on_head(&mut self, status: u16, content_type: String) {
+        if let Some(once) = &mut self.once {
+            once.on_head(status, &content_type);
+        }
+        self.answer.open(status, content_type);
+    }
+
     /// Gets the request to an upstream and follows it there.
     async fn try_upstream(&mut self, upstream: &UpstreamId) -> End {
         let target = match Target::connect(&self.shared, upstream).await {
@@ -119,7 +200,7 @@
             }
         };
         if !self.may_ask_again || !self.is_model() {
-            return self.follow(target, Start::HandOver { registration: None }).await;
+            return self.follow(target, Start::HandOver { registration: None, claim: None }).await;
         }
         let wish = Wish {
             key: self.key.clone(),
@@ -134,7 +215,11 @@
                 if self.shared.clock.now() >= until {
                     return self.not_sent();
                 }
-                self.follow(target, Start::HandOver { registration: Some(registration) }).await
+                self.follow(
+                    target,
+                    Start::HandOver { registration: Some(registration), claim: None },
+                )
+                .await
             }
             Located::Held(placed) => self.join_placed(placed).await,
             Located::Unclear => End::Refused(unclear()),
@@ -177,10 +262,18 @@
                     Heard::CallerGone => return self.leave(&target).await,
                 },
             };
+            if let (Some(refusal), true) = (refusal_of(&happened), self.once.is_some())
+                && is_withdrawn(refusal)
+            {
+                return End::Refused(refusal.clone());
+            }
             match self.dispatch.on_event(happened) {
                 Next::Wait => {}
-                Next::Head { status, content_type } => self.answer.open(status, content_type),
+                Next::Head { status, content_type } => self.on_head(status, content_type),
                 Next::Piece(bytes) => {
+                    if let Some(once) = &mut self.once {
+                        once.on_piece(&bytes);
+                    }
                     if self.answer.push(bytes).await == Given::CallerGone {
                         return self.leave(&target).await;
                     }
@@ -220,7 +313,9 @@
             job: Some(self.job.clone()),
             ..Exchange::new(&self.request, &view, self.shared.clock.now())
         };
-        self.shared.chain.place_again(&mut exchange).map_err(|(_, refusal)| refusal)?;
+        let placed = self.shared.chain.place_again(&mut exchange);
+        self.shared.decisions.record(Some(&self.key), &exchange, self.shared.clock.wall());
+        placed.map_err(|(_, refusal)| refusal)?;
         exchange.upstream.ok_or_else(|| Refusal::not_run(ResultCode::Internal))
     }
 
@@ -233,6 +328,11 @@
     }
 
     async fn finish(&mut self, end: End) {
+        match (&mut self.once, &end) {
+            (Some(once), End::Whole) => once.on_whole(),
+            (Some(once), End::Refused(refusal)) => once.on_refused(refusal.outcome),
+            _ => {}
+        }
         let took = self.shared.clock.now().saturating_duration_since(self.arrived);
         let result = match &end {
             End::Whole => "whole",
@@ -243,7 +343,7 @@
         self.shared.metrics.count(Some(self.job.tier), result, took.as_secs_f64());
         info!(
             "request={} customer={} tier={} upstream={} result={result} ms={}",
-            self.key.request_id,
+            self.request_id,
             self.key.customer,
             self.job.tier,
             self.at,
@@ -257,6 +357,17 @@
     }
 }
 
+fn is_withdrawn(refusal: &Refusal) -> bool {
+    refusal.code == ResultCode::Withdrawn && refusal.outcome == Outcome::NotRun
+}
+
+fn refusal_of(event: &Event) -> Option<&Refusal> {
+    match event {
+        Event::Said(Envelope { event: AnswerEvent::Refused(refusal), .. }) => Some(refusal),
+        _ => None,
+    }
+}
+
 /// Nobody can say at the moment whether the request was placed before.
 fn unclear() -> Refusal {
     Refusal::new(ResultCode::UpstreamLost, Outcome::Unknown)
@@ -274,7 +385,9 @@
 fn admit(shared: &Shared, request: &Request, arrived: Instant) -> Result<Admitted, Refusal> {
     let view = read_view(shared)?;
     let mut exchange = Exchange::new(request, &view, arrived);
-    shared.chain.run(&mut exchange).map_err(|(_, refusal)| refusal)?;
+    let passed = shared.chain.run(&mut exchange);
+    shared.decisions.record(exchange.key.as_ref(), &exchange, shared.clock.wall());
+    passed.map_err(|(_, refusal)| refusal)?;
     match (exchange.key, exchange.job, exchange.upstream) {
         (Some(key), Some(job), Some(upstream)) => Ok(Admitted { key, job, upstream }),
         _ => Err(Refusal::not_run(ResultCode::Internal)),
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use errors::Refusal;
 use identity::{
-    ConfigVersion, CustomerId, DispatchEpoch, ModelId, ProcessId, RequestId, ServiceId, Tier,
-    UpstreamId,
+    ConfigVersion, CustomerId, DispatchEpoch, FencingToken, ModelId, ProcessId, RequestId,
+    ServiceId, Tier, UpstreamId,
 };
 
 /// A request is known by its customer and its id together.
@@ -50,6 +50,15 @@
     pub config_version: ConfigVersion,
 }
 
+/// The claim in the platform's store that allows one dispatch of a non-idempotent call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// Store revision of the write that made the claim.
+    pub revision: u64,
+    /// The agent process that the claim names; any other refuses the dispatch.
+    pub agent_process: ProcessId,
+}
+
 /// What is to be done for a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Work {
@@ -153,3 +162,25 @@
     /// The event.
     pub event: AnswerEvent,
 }
+
+/// An order to an engine, from the holder of a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The agent process that it is for.
+    pub agent_process: ProcessId,
+    /// Orders the holders of the lease.
+    pub token: FencingToken,
+    /// How long the sender may still act.
+    pub time_left: Duration,
+    /// What the engine is to do.
+    pub command: Command,
+}
+
+/// What an engine can be told to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Load a model.
+    LoadModel(ModelId),
+    /// Give up a model.
+    UnloadModel(ModelId),
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use convert::WireError;
 pub use event::{
-    AnswerEvent, Dispatch, Envelope, LoadDigest, ModelCall, Registration, RequestKey, ServiceCall,
-    Work,
+    AnswerEvent, Claim, Command, Dispatch, Envelope, LoadDigest, ModelCall, Order, Registration,
+    RequestKey, ServiceCall, Work,
 };
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -12,7 +12,7 @@
 use entry::{Entry, EntryHandle, PlatformSettings};
 use identity::{HostId, UpstreamId, ZoneId};
 use serde_json::{Value, json};
-use standin::engine::{Engine, Speeds};
+use standin::engine::{Engine, EngineSettings};
 use standin::hosts::Hosts;
 use standin::store::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -41,7 +41,13 @@
 }
 
 pub fn engine(decode_tokens_per_s: u32) -> EngineServer {
-    let engine = Engine::new(Speeds { prefill_tokens_per_s: 100_000, decode_tokens_per_s });
+    let settings = EngineSettings {
+        prefill_tokens_per_s: 100_000,
+        decode_tokens_per_s,
+        batch_cost_permille: 0,
+        ..EngineSettings::default()
+    };
+    let engine = Engine::new(settings, Arc::new(SystemClock));
     let server = serve(Arc::new(engine.clone()));
     EngineServer { engine, server }
 }
@@ -63,6 +69,7 @@
         upstream: UpstreamId::new(name),
         adapter: UpstreamSettings::HttpEngine { address: engine },
         slots,
+        peers: Vec::new(),
         log_level: "warn".to_owned(),
     };
     Agent { settings, clock: Arc::new(SystemClock) }.spawn().await.unwrap()
@@ -103,6 +110,7 @@
             zone: ZoneId::new(ZONE),
             platform: PlatformSettings::Http { store, host_list },
             workers: 1,
+            peers: entry::PeerSettings::default(),
             log_level: "warn".to_owned(),
         };
         Entry { settings, clock: Arc::new(SystemClock) }.spawn().await.unwrap()
@@ -183,7 +191,7 @@
              connection: close\r\ncontent-length: {}\r\n\r\n",
             body.len()
         );
-        stream.write_all((head + &body).as_bytes()).await.unwrap();
+        stream.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
         stream
     }
 
@@ -213,5 +221,5 @@
         && events[..tokens as usize]
             .iter()
             .enumerate()
-            .all(|(at, event)| event.contains(&format!("token{at} ")))
+            .all(|(at, event)| event.contains(&format!("-{at} ")))
 }
