--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -181,7 +181,7 @@
         }
         let key = dispatch.key.clone();
         self.queue.push(key.clone(), dispatch.tier, latest_start);
-        self.records.insert(key, Record::queued(dispatch, deadline, now));
+        self.records.insert(key, Record::queued(dispatch, deadline));
         (Admission::Held, self.fill(now))
     }
 
