--- /dev/null
+++ b/tests/scenarios/booking_any_two_die.rhai
@@ -0,0 +1,40 @@
+// Any two processes die while a booking runs: it does not run again, and the truth is told.
+fleet(#{
+    entries: #{ "entry-1": "riga-a", "entry-2": "riga-b", "entry-3": "riga-a" },
+    services: #{ "desk-1": #{ delay_ms: 1500 }, "desk-2": #{ delay_ms: 1500 } },
+});
+
+// The entry that claimed: the answer is still at the agent, and another entry gets it.
+let first = book("entry-1", #{ key: "entry-dies" });
+expect(eventually(5000, || runs_of("entry-dies") == 1), "the booking reached a worker");
+kill("entry-1");
+let joined = answer(book("entry-2", #{ key: "entry-dies" }));
+expect(joined.status == 201, "another entry gets the answer of the running call");
+restart("entry-1");
+expect(eventually(5000, || operators("entry-1", "/readyz").status == 200), "entry-1 is back");
+
+// Two entries.
+let second = book("entry-1", #{ key: "entries-die" });
+expect(eventually(5000, || runs_of("entries-die") == 1), "the booking reached a worker");
+kill("entry-1");
+kill("entry-3");
+wait_ms(2500);
+let kept = answer(book("entry-2", #{ key: "entries-die" }));
+expect(kept.status == 201, "the answer is still held after the call has ended");
+restart("entry-1");
+expect(eventually(5000, || operators("entry-1", "/readyz").status == 200), "entry-1 is back");
+
+// The entry and the agent: the agent comes back with an empty memory.
+let third = book("entry-1", #{ key: "both-die" });
+expect(eventually(5000, || runs_of("both-die") == 1), "the booking reached a worker");
+let victim = if "both-die" in runs("desk-1") { "desk-1" } else { "desk-2" };
+kill("entry-1");
+kill(`agent ${victim}`);
+restart(`agent ${victim}`);
+for attempt in 0..3 {
+    let again = answer(book("entry-2", #{ key: "both-die" }));
+    expect(again.outcome == "unknown", "the outcome is unknown, which is the truth");
+}
+for key in ["entry-dies", "entries-die", "both-die"] {
+    expect(runs_of(key) == 1, `${key} ran once`);
+}
