--- a/components/entry/tests/booking.rs
+++ b/components/entry/tests/booking.rs
@@ -41,15 +41,17 @@
 }
 
 impl Answer {
-    fn outcome(&self) -> String {
+    /// Name and outcome of an error.
+    fn says(&self) -> (String, String) {
         let body: Value = serde_json::from_str(&self.body).expect("JSON");
-        body["outcome"].as_str().unwrap_or_default().to_owned()
+        let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
+        (text("name"), text("outcome"))
     }
+}
 
-    fn name(&self) -> String {
-        let body: Value = serde_json::from_str(&self.body).expect("JSON");
-        body["name"].as_str().unwrap_or_default().to_owned()
-    }
+/// What an error of this name and outcome says.
+fn error(name: &str, outcome: &str) -> (String, String) {
+    (name.to_owned(), outcome.to_owned())
 }
 
 fn serve(handler: Arc<dyn Handler>) -> ServerHandle {
@@ -196,8 +198,7 @@
     let site = Site::spawn(Duration::ZERO).await;
     site.store.set_faults(Faults { outage: true, ..Faults::default() });
     let refused = site.book(0, "down", "{}").await;
-    assert_eq!(refused.status, 503);
-    assert_eq!((refused.name(), refused.outcome()), ("store_unavailable".into(), "not_run".into()));
+    assert_eq!((refused.status, refused.says()), (503, error("store_unavailable", "not_run")));
     assert!(refused.body.contains("retry_after_ms"));
     assert_eq!(site.runs("down"), 0);
     site.store.set_faults(Faults::default());
@@ -226,7 +227,7 @@
     let site = Site::spawn(Duration::ZERO).await;
     assert_eq!(site.book(0, "reused", "{}").await.status, 201);
     let refused = site.book(1, "reused", "{\"other\":1}").await;
-    assert_eq!((refused.status, refused.name()), (409, "idempotency_key_reused".into()));
+    assert_eq!((refused.status, refused.says()), (409, error("idempotency_key_reused", "not_run")));
     assert_eq!(site.runs("reused"), 1);
 }
 
@@ -239,17 +240,17 @@
         .header("x-deadline-ms", "400")
         .body("{}");
     let first = site.send(site.entries[0].callers_address(), deadline).await;
-    assert_eq!((first.name(), first.outcome()), ("deadline_passed".into(), "unknown".into()));
+    assert_eq!(first.says(), error("deadline_passed", "unknown"));
     // Another process stands beside the service, and a new entry knows of no other.
     let agent = spawn_agent(site.service_address).await;
     site.patch(1, &json!({ "upstreams": { "desk": { "agent": agent.address() } } })).await;
     site.entries.push(spawn_entry(site.platform.clone()).await);
     site.wait_until_ready(2).await;
     let second = site.book(2, "restart", "{}").await;
-    assert_eq!((second.name(), second.outcome()), ("upstream_lost".into(), "unknown".into()));
+    assert_eq!(second.says(), error("upstream_lost", "unknown"));
     settle_as_operator(&site).await;
     let third = site.book(1, "restart", "{}").await;
-    assert_eq!((third.name(), third.outcome()), ("already_ran".into(), "ran".into()));
+    assert_eq!(third.says(), error("already_ran", "ran"));
     assert_eq!(site.runs("restart"), 1);
 }
 
@@ -266,7 +267,7 @@
     };
     let revision = rows[0].revision.0;
     let stale = site.operate("POST", "/claims/settlements", &settlement(revision - 1)).await;
-    assert_eq!((stale.status, stale.name()), (409, "version_conflict".into()));
+    assert_eq!((stale.status, stale.says()), (409, error("version_conflict", "not_run")));
     let settled = site.operate("POST", "/claims/settlements", &settlement(revision)).await;
     assert_eq!(settled.status, 200, "{}", settled.body);
     assert!(settled.body.contains("\"author\":\"ilze\""));
--- a/components/entry/tests/claims.rs
+++ b/components/entry/tests/claims.rs
@@ -36,7 +36,7 @@
     ProcessCheck,
     /// The agent forgets what it refused when it was asked.
     Tombstone,
-    /// Takes a write without a reply for one without effect.
+    /// Takes a write without a reply for one that took effect.
     ReadBack,
 }
 
@@ -143,8 +143,16 @@
             0 => self.apply_late_write(),
             1 => self.deliver_late_dispatch()?,
             2 | 3 => self.finish_call(),
-            4 if self.chance(6) => self.kill_agent(),
-            5 if self.chance(4) => self.kill_entry(),
+            4 if self.chance(6) => {
+                self.count("agent_deaths");
+                let index = self.draw(AGENTS);
+                self.agents[index] = self.new_agent();
+            }
+            5 if self.chance(4) => {
+                self.count("entry_deaths");
+                let index = self.draw(ENTRIES);
+                self.entries[index] = None;
+            }
             6 => self.clock.advance(Duration::from_millis(300)),
             _ => {
                 let entry = self.draw(ENTRIES);
@@ -154,25 +162,12 @@
         Ok(())
     }
 
-    fn kill_agent(&mut self) {
-        let index = self.draw(AGENTS);
-        self.agents[index] = self.new_agent();
-        self.count("agent_deaths");
-    }
-
-    fn kill_entry(&mut self) {
-        let index = self.draw(ENTRIES);
-        self.entries[index] = None;
-        self.count("entry_deaths");
-    }
-
     fn apply_late_write(&mut self) {
-        if self.late_writes.is_empty() {
-            return;
+        let index = self.draw(self.late_writes.len().max(1));
+        if index < self.late_writes.len() {
+            let (claim, expected) = self.late_writes.swap_remove(index);
+            self.swap(claim, expected);
         }
-        let index = self.draw(self.late_writes.len());
-        let (claim, expected) = self.late_writes.swap_remove(index);
-        self.swap(claim, expected);
     }
 
     fn swap(&mut self, claim: Claim, expected: Option<Revision>) -> SwapResult {
@@ -279,8 +274,7 @@
                 self.note(&claim, revision, State::Ran { answer: None });
                 return Ok(false);
             }
-            Next::Replay(_) => return Ok(false),
-            Next::Answer(_) => return Ok(false),
+            Next::Replay(_) | Next::Answer(_) => return Ok(false),
         };
         requester.next = requester.claiming.on_event(event, self.clock.now());
         if let Next::Answer(refusal) = &requester.next {
@@ -311,13 +305,12 @@
         requester.dispatched.insert(key.clone());
         let message = dispatch_of(&key, &claim);
         let for_agent = claim.for_agent(revision);
-        if self.chance(5) {
+        let late = self.chance(5);
+        if late {
             self.count("late_dispatches");
-            self.late_dispatches.push((index, message, for_agent));
-            requester.following = Some((index, claim, revision));
-            return Ok(true);
+            self.late_dispatches.push((index, message.clone(), for_agent.clone()));
         }
-        if self.deliver(index, message, for_agent)? {
+        if late || self.deliver(index, message, for_agent)? {
             requester.following = Some((index, claim, revision));
         } else {
             requester.next = self.place(&mut requester.claiming);
