--- a/components/agent/tests/orders.rs
+++ b/components/agent/tests/orders.rs
@@ -41,6 +41,7 @@
         upstream: UpstreamId::new("fast"),
         adapter: UpstreamSettings::HttpEngine { address: server.address() },
         slots: 1,
+        peers: Vec::new(),
         log_level: "off".to_owned(),
     };
     let agent = Agent { settings, clock: Arc::new(SystemClock) }.spawn().await.expect("agent");
