Show the configuration in metrics, check a patch's size too, keep waiting records until written

Cause: `config check` said good to a patch whose part would not fit in the store; operators could not see processes that differ; a waiting audit record was out of the queue while it was being written, so that a crash of that call lost it and the count was 0 for a moment.

Change: check_patch with the size of the parts; gauges of the version in force and of waiting audit records; a record leaves the queue only after it was written (a second write of it is recognised). The store in memory that counts moves from the tests to the stand-ins, for other cores' tests.

Conclusion: tests/ctl.rs reads both gauges after a patch that was refused for the outage (2 and 1).

--- a/components/configuration/src/repository/submit.rs
+++ b/components/configuration/src/repository/submit.rs
@@ -107,6 +107,13 @@
     hex::encode(Sha256::digest(patch.to_string().as_bytes()))
 }
 
+/// Whether a patch would be accepted on a document, its size in the store included.
+pub fn check_patch(document: &Document, patch: &Value) -> Result<(), Refusal> {
+    let patched = apply_patch(document, patch)?;
+    let parts = Parts::split(&patched).map_err(|error| internal(&error))?;
+    check_size(parts.0.values().map(String::len).max())
+}
+
 fn check_names(submission: &Submission) -> Result<(), Refusal> {
     for (name, text) in [("author", &submission.author), ("patch_id", &submission.patch_id)] {
         if text.is_empty() || text.len() > NAME_LIMIT_BYTES {
@@ -189,7 +196,7 @@
         deltas,
         collected,
     };
-    check_sizes(&objects)?;
+    check_size(objects.iter().map(|(_, text)| text.len()).max())?;
     Ok(Attempt { index, objects, snapshot })
 }
 
@@ -231,12 +238,13 @@
     replaced
 }
 
-fn check_sizes(objects: &[(ObjectKey, String)]) -> Result<(), Refusal> {
-    let largest = objects.iter().map(|(_, text)| text.len()).max().unwrap_or(0);
-    if largest <= VALUE_LIMIT_BYTES {
+fn check_size(largest_bytes: Option<usize>) -> Result<(), Refusal> {
+    let largest_bytes = largest_bytes.unwrap_or(0);
+    if largest_bytes <= VALUE_LIMIT_BYTES {
         return Ok(());
     }
-    let message = format!("a part would take {largest} bytes, allowed are {VALUE_LIMIT_BYTES}");
+    let message =
+        format!("a part would take {largest_bytes} bytes, allowed are {VALUE_LIMIT_BYTES}");
     Err(Refusal::not_run(ResultCode::PatchRejected).with_message(message))
 }
 
--- a/components/configuration/tests/layout.rs
+++ b/components/configuration/tests/layout.rs
@@ -2,15 +2,17 @@
 
 mod support;
 
+use configuration::Document;
 use configuration::layout::{
     DELTAS_KEPT, INDEX_KEY, LOG_ENTRIES_KEPT, LogEntry, ObjectKey, VALUE_LIMIT_BYTES, VERSIONS_KEPT,
 };
-use configuration::repository::{read_index, read_log, read_newer};
+use configuration::repository::{check_patch, read_index, read_log, read_newer};
 use errors::ResultCode;
 use identity::{ConfigVersion, CustomerId};
 use platform::{KeyValueStore, Revision};
 use serde_json::json;
-use support::{MemoryStore, document_of, rate_of, run, submit};
+use standin::memory_store::MemoryStore;
+use support::{document_of, rate_of, run, submit};
 
 const CUSTOMERS: usize = 15_000;
 
@@ -145,8 +147,11 @@
         let services: Vec<String> = (0..100_000).map(|number| format!("desk-{number}")).collect();
         let known: serde_json::Map<_, _> =
             services.iter().map(|name| (name.clone(), json!({ "calls": [] }))).collect();
-        let refusal = submit(&store, None, 0, "huge", json!({ "services": known })).await;
+        let huge = json!({ "services": known });
+        let refusal = submit(&store, None, 0, "huge", huge.clone()).await;
         assert_eq!(refusal.unwrap_err().code, ResultCode::PatchRejected);
         assert!(store.state().values.is_empty());
+        let checked = check_patch(&Document::default(), &huge);
+        assert_eq!(checked.expect_err("too large").code, ResultCode::PatchRejected);
     });
 }
--- a/components/configuration/tests/race.rs
+++ b/components/configuration/tests/race.rs
@@ -4,13 +4,15 @@
 
 use std::time::SystemTime;
 
+use configuration::layout::INDEX_KEY;
 use configuration::repository::{
     AuditOutcome, AuditRecord, Submission, read_audit, read_index, record_audit,
 };
 use errors::ResultCode;
 use identity::ConfigVersion;
 use serde_json::json;
-use support::{MemoryStore, document_of, rate_of, run, submit};
+use standin::memory_store::MemoryStore;
+use support::{document_of, rate_of, run, submit};
 
 #[test]
 fn of_two_operators_on_one_version_one_wins_and_the_other_is_told_the_version() {
@@ -34,7 +36,7 @@
     run(async {
         let store = MemoryStore::default();
         submit(&store, None, 0, "p0", document_of(10)).await.unwrap();
-        store.state().lose_index_reply = true;
+        store.state().lose_reply_of = Some(INDEX_KEY.to_owned());
         let first = submit(&store, None, 1, "anna-1", rate_of(1, 50)).await.unwrap();
         assert_eq!(first.version, ConfigVersion(2));
         for other in 2..40 {
--- a/components/entry/src/controllers/configuration/mod.rs
+++ b/components/entry/src/controllers/configuration/mod.rs
@@ -39,11 +39,11 @@
 
 /// Writes the records that wait, the oldest first, until the store fails.
 pub async fn flush_audit(store: &dyn KeyValueStore, pending: &PendingAudit) {
-    while let Some(record) = pending.take() {
+    while let Some(record) = pending.first() {
         if let Err(error) = record_audit(store, &record).await {
             warn!("audit record waits: {error}: {record:?}");
-            pending.put_back(record);
             return;
         }
+        pending.remove(&record);
     }
 }
--- a/components/entry/src/controllers/configuration/pending.rs
+++ b/components/entry/src/controllers/configuration/pending.rs
@@ -24,14 +24,14 @@
         }
     }
 
-    /// Takes the oldest.
-    pub fn take(&self) -> Option<AuditRecord> {
-        self.records().pop_front()
+    /// The oldest.
+    pub fn first(&self) -> Option<AuditRecord> {
+        self.records().front().cloned()
     }
 
-    /// Puts one back as the oldest.
-    pub fn put_back(&self, record: AuditRecord) {
-        self.records().push_front(record);
+    /// Removes a record that the store has taken.
+    pub fn remove(&self, written: &AuditRecord) {
+        self.records().retain(|record| record != written);
     }
 
     /// How many wait.
--- a/components/entry/src/shell/metrics.rs
+++ b/components/entry/src/shell/metrics.rs
@@ -1,14 +1,18 @@
 //! Metrics of an entry process.
 
 use anyhow::Result;
-use identity::Tier;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use identity::{ConfigVersion, Tier};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 /// Counters that `/metrics` shows.
 pub(crate) struct Metrics {
     registry: Registry,
     answers: IntCounterVec,
     seconds: HistogramVec,
+    configuration_version: IntGauge,
+    audit_records_waiting: IntGauge,
 }
 
 impl Metrics {
@@ -22,9 +26,19 @@
             HistogramOpts::new("dragonflyfront_answer_seconds", "Time to the whole answer"),
             &["tier"],
         )?;
+        let configuration_version = IntGauge::new(
+            "dragonflyfront_configuration_version",
+            "Version of the configuration in force",
+        )?;
+        let audit_records_waiting = IntGauge::new(
+            "dragonflyfront_audit_records_waiting",
+            "Audit records that the store has not taken yet",
+        )?;
+        registry.register(Box::new(configuration_version.clone()))?;
+        registry.register(Box::new(audit_records_waiting.clone()))?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(seconds.clone()))?;
-        Ok(Metrics { registry, answers, seconds })
+        Ok(Metrics { registry, answers, seconds, configuration_version, audit_records_waiting })
     }
 
     /// Counts one answer; `result` is `whole` or the name of a result code.
@@ -34,6 +48,12 @@
         self.seconds.with_label_values(&[tier.as_str()]).observe(seconds);
     }
 
+    /// Sets what is shown of the configuration.
+    pub(crate) fn show_configuration(&self, version: ConfigVersion, records_waiting: usize) {
+        self.configuration_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.audit_records_waiting.set(i64::try_from(records_waiting).unwrap_or(i64::MAX));
+    }
+
     /// The text form.
     pub(crate) fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
+use configuration::Snapshot;
 use configuration::repository::{
-    ReadError, Submission, read_audit, read_index, read_log, read_newer,
+    ReadError, Submission, check_patch, read_audit, read_index, read_log, read_newer,
 };
-use configuration::{Snapshot, apply_patch};
 use errors::{Refusal, ResultCode};
 use identity::ConfigVersion;
 use log::info;
@@ -80,7 +80,7 @@
     match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/healthz") => Ok(Response::whole(200, "text/plain", "alive\n")),
         ("GET", "/readyz") => Ok(ready(shared)),
-        ("GET", "/metrics") => Ok(Response::whole(200, "text/plain", shared.metrics.render())),
+        ("GET", "/metrics") => Ok(metrics(shared)),
         ("GET", "/configuration") => configuration(shared).await,
         ("POST", "/configuration/patches") => patch(shared, &request).await,
         ("GET", "/claims/unsettled") => unsettled(shared).await,
@@ -95,6 +95,12 @@
     }
 }
 
+fn metrics(shared: &Shared) -> Response {
+    let (version, waiting) = (shared.in_force.version(), shared.pending_audit.len());
+    shared.metrics.show_configuration(version, waiting);
+    Response::whole(200, "text/plain", shared.metrics.render())
+}
+
 fn ready(shared: &Shared) -> Response {
     if shared.draining.load(Ordering::SeqCst) {
         return Response::whole(503, "text/plain", "draining\n");
@@ -141,7 +147,7 @@
     let newest = newer.map(Arc::new).or(held);
     let newest =
         newest.unwrap_or_else(|| Arc::new(Snapshot::new(ConfigVersion(0), Default::default())));
-    apply_patch(&newest.document, &submission.patch)?;
+    check_patch(&newest.document, &submission.patch)?;
     Ok(Response::json(200, &json!({ "against_version": newest.version })))
 }
 
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod hosts;
+pub mod memory_store;
 pub mod service;
 pub mod store;
 pub mod weights;
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -90,6 +90,9 @@
     assert!(lines[2].contains("bruno") && lines[2].contains("version_conflict"), "{audit}");
     platform.set_outage(true);
     assert_eq!(ctl(&entry, &format!("{patch} 2"), &rate).await.0, 7);
+    let metrics = platform.read(&entry, "/metrics").await;
+    assert!(metrics.contains("dragonflyfront_configuration_version 2\n"), "{metrics}");
+    assert!(metrics.contains("dragonflyfront_audit_records_waiting 1\n"), "{metrics}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -85,6 +85,14 @@
         Agent { settings, clock: Arc::new(SystemClock) }.spawn().await.expect("set-up")
     }
 
+    #[allow(dead_code, reason = "not every test file reads pages")]
+    pub(crate) async fn read(&self, entry: &EntryHandle, path: &str) -> String {
+        let request = Request::new("GET", path);
+        let answer = self.client.send(entry.operators_address(), request, LIMIT).await;
+        let body = answer.expect("answered").read().await.expect("answered");
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
     pub(crate) async fn call(
         &self,
         entry: &EntryHandle,
