Apply changes of the configuration in a thread of their own

Ruled out: spawn_blocking for the apply alone (reading from the store and the apply are one call).

Change: the questions to store and peers run in a thread with a runtime of its own, which ends when its handle is dropped.

--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -94,7 +94,7 @@
             in_force: in_force.clone(),
             clock: self.clock.clone(),
         }
-        .spawn();
+        .spawn()?;
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
             orders: Mutex::new(Orders::new(process.clone())),
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -90,7 +90,7 @@
             in_force: in_force.clone(),
             clock: self.clock.clone(),
         }
-        .spawn();
+        .spawn()?;
         let peer_listener = bound.map(|bound| PeerListener::spawn(bound, peers.service()));
         let shared = Arc::new(Shared {
             clock: self.clock,
--- a/components/peers/src/run.rs
+++ b/components/peers/src/run.rs
@@ -1,17 +1,21 @@
-//! The task that keeps the configuration in force fresh.
+//! The thread that keeps the configuration in force fresh.
+//!
+//! To apply a patch to a document of many customers takes a while; in a thread of its own it does
+//! not hold up requests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
+use anyhow::{Context, Result};
 use clock::Clock;
 use configuration::InForce;
 use configuration::sync::{Event, Next, Place, Source, Sync, choose_relays};
 use identity::{ConfigVersion, ZoneId};
 use log::warn;
 use platform::KeyValueStore;
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::sync::{Notify, mpsc};
 use wire::v1::peer_server::PeerServer;
 
 use crate::ask::Asker;
@@ -40,11 +44,11 @@
     pub clock: Arc<dyn Clock>,
 }
 
-/// The running task.
+/// The running thread; it ends when this is dropped.
 pub struct PeersHandle {
     in_force: Arc<InForce>,
     hearing: Hearing,
-    task: JoinHandle<()>,
+    stopped: Arc<Notify>,
 }
 
 /// Takes in what is heard of versions.
@@ -63,8 +67,8 @@
 }
 
 impl Peers {
-    /// Starts to ask; needs a tokio runtime.
-    pub fn spawn(self) -> PeersHandle {
+    /// Starts to ask.
+    pub fn spawn(self) -> Result<PeersHandle> {
         let (events, queue) = mpsc::channel(EVENT_QUEUE);
         let hearing = Hearing { in_force: self.in_force.clone(), events: events.clone() };
         let place = Place { own: self.own, listed: self.listed, has_store: self.store.is_some() };
@@ -82,8 +86,21 @@
             events,
             relays_of: ConfigVersion(0),
         };
-        let task = tokio::spawn(task.run(queue));
-        PeersHandle { in_force: self.in_force, hearing, task }
+        let stopped = Arc::new(Notify::new());
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context("runtime of peers")?;
+        let stop = stopped.clone();
+        thread::Builder::new().name("peers".to_owned()).spawn(move || {
+            runtime.block_on(async move {
+                tokio::select! {
+                    () = task.run(queue) => {}
+                    () = stop.notified() => {}
+                }
+            });
+        })?;
+        Ok(PeersHandle { in_force: self.in_force, hearing, stopped })
     }
 }
 
@@ -106,7 +123,13 @@
 
     /// Stops to ask.
     pub fn stop(&self) {
-        self.task.abort();
+        self.stopped.notify_one();
+    }
+}
+
+impl Drop for PeersHandle {
+    fn drop(&mut self) {
+        self.stop();
     }
 }
 
--- a/components/peers/tests/spread.rs
+++ b/components/peers/tests/spread.rs
@@ -55,7 +55,8 @@
         in_force,
         clock: Arc::new(SystemClock),
     }
-    .spawn();
+    .spawn()
+    .expect("started");
     let server = tonic::transport::Server::builder()
         .add_service(peers.service())
         .serve_with_incoming(TcpListenerStream::new(listener));
