--- a/components/entry/src/filters/limit.rs
+++ b/components/entry/src/filters/limit.rs
@@ -6,6 +6,7 @@
 
 use errors::{Refusal, ResultCode};
 use identity::CustomerId;
+use schedule::retry::spread_retry;
 
 use super::{Exchange, Filter, Step};
 
@@ -42,7 +43,9 @@
             Ok(()) => Step::Next,
             Err(wait) => {
                 let refusal = Refusal::not_run(ResultCode::LimitReached);
-                Step::Answer(refusal.with_retry_after(wait))
+                // Never before there is room again, and not all at the same moment after it.
+                let id = exchange.key.as_ref().map_or("", |key| key.request_id.as_str());
+                Step::Answer(refusal.with_retry_after(wait + spread_retry(wait, id)))
             }
         }
     }
--- a/components/entry/src/filters/place.rs
+++ b/components/entry/src/filters/place.rs
@@ -9,6 +9,7 @@
 use schedule::cost::{Size, Speed};
 use schedule::placement::{Ask, Candidate, Placement, Placer};
 use schedule::prefix::Fingerprint;
+use schedule::retry::spread_retry;
 use wire::Work;
 
 use super::{Exchange, Filter, Step, View};
@@ -51,7 +52,8 @@
             }
             Placement::NoUpstream => {
                 let refusal = Refusal::not_run(ResultCode::NoUpstream);
-                Step::Answer(refusal.with_retry_after(RETRY_AFTER))
+                let id = exchange.key.as_ref().map_or("", |key| key.request_id.as_str());
+                Step::Answer(refusal.with_retry_after(spread_retry(RETRY_AFTER, id)))
             }
         }
     }
--- a/components/replay/tests/replay.rs
+++ b/components/replay/tests/replay.rs
@@ -50,3 +50,31 @@
     trace.write(&mut file).expect("written");
     assert_eq!(Trace::read(file.as_slice()).expect("read"), trace);
 }
+
+/// The users' targets for the highest tier.
+const FIRST_TOKEN_TARGET_MS: f64 = 980.0;
+const BETWEEN_TOKENS_TARGET_MS: f64 = 60.0;
+
+#[test]
+fn the_highest_tier_keeps_its_targets_at_twice_capacity() {
+    for deployment in [Deployment::Association, Deployment::Regie] {
+        let trace = generate(deployment, 2.0, Trouble::None, 20, SEED);
+        let figures = replay(&trace, options(Policy::Scheduler));
+        let top = &figures.tiers[0];
+        assert!(top.first_token_p95_ms <= FIRST_TOKEN_TARGET_MS, "{top:?}");
+        assert!(top.between_tokens_p95_ms <= BETWEEN_TOKENS_TARGET_MS, "{top:?}");
+        assert_eq!(figures.top_tier_shed_while_lower_ran, 0);
+    }
+}
+
+#[test]
+fn the_scheduler_is_ahead_of_every_baseline_at_twice_capacity() {
+    let trace = generate(Deployment::Regie, 2.0, Trouble::None, 20, SEED);
+    let own = replay(&trace, options(Policy::Scheduler));
+    for policy in Policy::ALL.into_iter().filter(|policy| *policy != Policy::Scheduler) {
+        let plain = Options { agent_rules: AgentRules::OFF, ..options(policy) };
+        let baseline = replay(&trace, plain);
+        assert!(own.weighted_goodput > baseline.weighted_goodput, "{}", policy.name());
+        assert!(own.wasted_prefill < baseline.wasted_prefill, "{}", policy.name());
+    }
+}
--- a/components/schedule/benches/placement.rs
+++ b/components/schedule/benches/placement.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BenchmarkId, Criterion};
 use identity::{Tier, UpstreamId};
 use schedule::cost::{Size, Speed};
 use schedule::placement::{Ask, Candidate, Placer};
@@ -49,5 +49,8 @@
     }
 }
 
-criterion_group!(benches, place);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    place(&mut criterion);
+    criterion.final_summary();
+}
--- a/src/cmd/replay/cells.rs
+++ b/src/cmd/replay/cells.rs
@@ -80,12 +80,18 @@
 }
 
 /// Replays every policy on every cell and prints the figures.
-pub(super) fn print(cells: &[Cell], entries: usize, seed: u64, json: bool) -> Result<()> {
+pub(super) fn print(
+    cells: &[Cell],
+    entries: usize,
+    seed: u64,
+    baseline_agents: AgentRules,
+    json: bool,
+) -> Result<()> {
     if !json {
         println!("{HEAD}");
     }
     for cell in cells {
-        for (policy, figures) in replay_all(cell, entries, seed) {
+        for (policy, figures) in replay_all(cell, entries, seed, baseline_agents) {
             if json {
                 println!(
                     "{}",
@@ -100,11 +106,16 @@
 }
 
 /// One thread for each policy; each replay is deterministic by itself.
-fn replay_all(cell: &Cell, entries: usize, seed: u64) -> Vec<(Policy, Figures)> {
+fn replay_all(
+    cell: &Cell,
+    entries: usize,
+    seed: u64,
+    baseline_agents: AgentRules,
+) -> Vec<(Policy, Figures)> {
     let run = |policy| {
         let agent_rules = match policy {
             Policy::Scheduler => AgentRules::default(),
-            _ => AgentRules::OFF,
+            _ => baseline_agents,
         };
         let options = Options { policy, agent_rules, ..cell.options(entries, seed) };
         (policy, replay(&cell.trace, options))
--- a/src/cmd/replay/mod.rs
+++ b/src/cmd/replay/mod.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use agent::core::AgentRules;
 use anyhow::{Context, Result};
 use pico_args::Arguments;
 use replay::Trace;
@@ -18,10 +19,11 @@
 dragonflyfront-replay: replays traces against the placement policies
 
 usage: dragonflyfront-replay FILE [--report-age-s N] [--entries N] [--seed N] [--json]
-       dragonflyfront-replay --cells [--only TEXT] [--duration-s N] [--seed N] [--json | --ablations]
+       dragonflyfront-replay --cells [--only TEXT] [--duration-s N] [--seed N] [--json | --ablations | --own-agents]
        dragonflyfront-replay --write CELL FILE [--duration-s N] [--seed N]
 
---ablations switches each rule off in turn; --cells replays every generated cell; --write writes the trace of one cell to a file.
+--ablations switches each rule off in turn;
+--own-agents gives the baselines the product's agents too; --cells replays every generated cell; --write writes the trace of one cell to a file.
 
 example: dragonflyfront-replay --cells --only regie --duration-s 60 --seed 1";
 
@@ -32,6 +34,8 @@
         return Ok(());
     }
     let json = arguments.contains("--json");
+    let own_agents = arguments.contains("--own-agents");
+    let baseline_agents = if own_agents { AgentRules::default() } else { AgentRules::OFF };
     let ablate = arguments.contains("--ablations");
     let seed = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let duration_s = arguments.opt_value_from_str("--duration-s")?.unwrap_or(60);
@@ -56,7 +60,7 @@
         ablations::print(&chosen, entries, seed);
         return Ok(());
     }
-    cells::print(&chosen, entries, seed, json)
+    cells::print(&chosen, entries, seed, baseline_agents, json)
 }
 
 fn write(arguments: &mut Arguments, duration_s: u32, seed: u64) -> Result<()> {
