--- a/components/schedule/benches/placement.rs
+++ b/components/schedule/benches/placement.rs
@@ -1,4 +1,6 @@
 //! What a placement costs over fleets of several sizes.
+// The macro of the bench library makes a public function without a comment.
+#![allow(missing_docs)]
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
