--- a/components/agent/src/core/preempt.rs
+++ b/components/agent/src/core/preempt.rs
@@ -25,6 +25,7 @@
             record.end(refusal.with_retry_after(retry_after), now);
         }
         self.in_flight.remove(&key);
+        self.hold(&key, now);
         Some(vec![Action::Abort(key.clone()), Action::Wake(key)])
     }
 }
