--- a/components/replay/src/simulation/mod.rs
+++ b/components/replay/src/simulation/mod.rs
@@ -1,6 +1,8 @@
 //! The replay: events in the order of simulated time.
 
+mod endings;
 mod entry;
+mod faults;
 mod upstream;
 
 use std::cmp::Reverse;
@@ -9,17 +11,16 @@
 
 use agent::core::{Action, Admission, AgentRules, UpstreamEvent};
 use bytes::Bytes;
-use errors::{Outcome, Refusal, ResultCode};
 use identity::{CustomerId, RequestId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use schedule::placement::PlacementRules;
 use wire::{LoadDigest, RequestKey};
 
-use crate::engine::{Output, Prefill};
+use crate::engine::Output;
 use crate::figures::{End, Figures, Recorder};
 use crate::policy::Policy;
-use crate::trace::{FaultKind, Trace};
+use crate::trace::Trace;
 use entry::EntryState;
 use upstream::{UpstreamState, dispatch_of};
 
@@ -305,74 +306,6 @@
         self.recorder.wasted += u64::from(prefill.computed);
     }
 
-    fn account_prefill(&mut self, upstream: usize, request: usize, kept: bool) {
-        let spec = &self.trace.requests[request];
-        let Prefill { cached, computed } = self.upstreams[upstream].engine.prefill_of(request);
-        self.recorder.computed += u64::from(computed);
-        if !kept {
-            self.recorder.wasted += u64::from(computed);
-            return;
-        }
-        let known = self.computed_prefixes.entry(spec.session).or_default();
-        if spec.session != 0 {
-            self.recorder.wasted +=
-                u64::from((*known).min(spec.prefix_tokens).saturating_sub(cached));
-            *known = (*known).max(spec.prefix_tokens);
-        }
-    }
-
-    fn refused(&mut self, request: usize, upstream: usize, refusal: &Refusal) {
-        if self.runs[request].ended {
-            return;
-        }
-        let elsewhere = matches!(refusal.code, ResultCode::Overloaded | ResultCode::Draining);
-        if elsewhere && refusal.outcome == Outcome::NotRun {
-            return self.place_again(request, upstream);
-        }
-        if self.trace.requests[request].tier == 0 && self.lower_runs(upstream) {
-            self.recorder.top_tier_shed_while_lower_ran += 1;
-        }
-        let end = match refusal.code {
-            ResultCode::Preempted => End::Preempted,
-            _ => End::Shed,
-        };
-        self.end(request, end);
-    }
-
-    fn lower_runs(&self, upstream: usize) -> bool {
-        let requests = self.upstreams[upstream].engine.requests();
-        requests.iter().any(|request| self.trace.requests[*request].tier > 0)
-    }
-
-    /// The deadline: a request that is not done is worthless.
-    fn cut(&mut self, request: usize) {
-        let run = &self.runs[request];
-        if run.ended {
-            return;
-        }
-        let (tier, customer) =
-            (self.trace.requests[request].tier, self.trace.requests[request].customer);
-        let Some(upstream) = run.upstream else { return self.end(request, End::Shed) };
-        let ran = self.upstreams[upstream].core.is_handed_over(&key_of(customer, request));
-        if tier == 0 && !ran && self.lower_runs(upstream) {
-            self.recorder.top_tier_shed_while_lower_ran += 1;
-        }
-        self.end(request, if ran { End::Late } else { End::Shed });
-        let now = self.now();
-        let actions = self.upstreams[upstream].core.cancel(&key_of(customer, request), now);
-        self.perform(upstream, actions, Some(request));
-    }
-
-    fn end(&mut self, request: usize, end: End) {
-        let run = &mut self.runs[request];
-        run.ended = true;
-        if let Some(upstream) = run.upstream {
-            self.entries[run.entry].left(upstream);
-        }
-        let spec = &self.trace.requests[request];
-        self.recorder.end(spec.tier, spec.customer, end);
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         for upstream in 0..self.upstreams.len() {
@@ -399,34 +332,6 @@
             }
         }
     }
-
-    fn fault(&mut self, what: FaultKind) {
-        match what {
-            FaultKind::Straggler { upstream, factor } => {
-                self.upstreams[upstream].engine.slow_down(factor);
-            }
-            FaultKind::ZoneLost { zone } => {
-                for upstream in 0..self.upstreams.len() {
-                    if self.trace.upstreams[upstream].zone == zone {
-                        self.lose(upstream);
-                    }
-                }
-            }
-        }
-    }
-
-    fn lose(&mut self, upstream: usize) {
-        self.upstreams[upstream].lost = true;
-        self.push(self.now_us + DETECTION_US, Event::Unreachable(upstream));
-        for request in self.upstreams[upstream].engine.requests() {
-            self.account_prefill(upstream, request, false);
-        }
-        for request in 0..self.runs.len() {
-            if self.runs[request].upstream == Some(upstream) && !self.runs[request].ended {
-                self.end(request, End::Late);
-            }
-        }
-    }
 }
 
 fn key_of(customer: u8, request: usize) -> RequestKey {
