--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -3,15 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use errors::{Refusal, ResultCode};
+use identity::DispatchEpoch;
 use log::warn;
+use registry::Standing;
 use tokio::sync::{mpsc, watch};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
-use wire::{AnswerEvent, Dispatch, RequestKey, v1};
+use wire::v1::index_server::IndexServer;
+use wire::{AnswerEvent, Claim, Dispatch, Envelope, Order, RequestKey, v1};
 
-use super::Shared;
-use crate::core::{Admission, Cursor, ReadStep, Settlement};
+use super::{Shared, index, orders};
+use crate::controllers::once::{Admit, Settled};
+use crate::core::{Action, Admission, Cursor, ReadStep, Settlement};
 
 /// Events on their way to one entry process.
 const STREAM_QUEUE: usize = 32;
@@ -19,6 +25,12 @@
 /// How long a stream may be silent before the agent says that it is alive.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How often a connection without traffic is tried.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long the other end may take to answer that before the connection is dropped.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
 type EventStream = ReceiverStream<Result<v1::DispatchEvent, Status>>;
 
 struct Rpc {
@@ -27,13 +39,18 @@
 
 pub(super) async fn serve(
     shared: Arc<Shared>,
-    incoming: TcpListenerStream,
+    incoming: TcpIncoming,
     mut stopped: watch::Receiver<bool>,
 ) {
+    let peer_service = shared.peers.service();
+    let index = IndexServer::new(index::Rpc { shared: shared.clone() });
     let service = AgentServer::new(Rpc { shared });
     let served = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
+        .http2_keepalive_interval(Some(PING_INTERVAL))
+        .http2_keepalive_timeout(Some(PING_TIMEOUT))
         .add_service(service)
+        .add_service(index)
+        .add_service(peer_service)
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|stop| *stop).await;
         })
@@ -52,13 +69,32 @@
         &self,
         request: Request<v1::DispatchRequest>,
     ) -> Result<Response<EventStream>, Status> {
-        let dispatch: Dispatch = request.into_inner().try_into().map_err(invalid)?;
-        let key = dispatch.key.clone();
-        let (admission, actions) = self.shared.core().dispatch(dispatch, self.shared.clock.now());
+        let mut request = request.into_inner();
+        let claim = request.claim.take().map(Claim::from);
+        let dispatch: Dispatch = request.try_into().map_err(invalid)?;
+        self.shared.peers.hear(dispatch.config_version, None);
+        let (key, epoch) = (dispatch.key.clone(), dispatch.epoch);
+        match claim.map(|claim| self.shared.once().admit(&key, &claim)) {
+            Some(Admit::Refuse(refusal)) => {
+                return Ok(Response::new(self.refuse(&key, epoch, refusal)));
+            }
+            Some(Admit::Seen) => return Ok(Response::new(self.read_held(key, 0)?)),
+            Some(Admit::Pass) => {}
+            None if dispatch
+                .process
+                .as_ref()
+                .is_some_and(|meant| *meant != self.shared.process) =>
+            {
+                let refusal = Refusal::not_run(ResultCode::NoUpstream);
+                return Ok(Response::new(self.refuse(&key, epoch, refusal)));
+            }
+            None => {}
+        }
+        let (admission, actions) = self.admit(dispatch);
         self.shared.perform(actions);
         let stream = match admission {
-            Admission::Held => self.read_from(key, 0),
-            Admission::Refused(refusal) => self.say(&key, &AnswerEvent::Refused(refusal)).await,
+            Admission::Held => self.read_held(key, 0)?,
+            Admission::Refused(refusal) => self.refuse(&key, epoch, refusal),
         };
         Ok(Response::new(stream))
     }
@@ -69,33 +105,48 @@
     ) -> Result<Response<EventStream>, Status> {
         let request = request.into_inner();
         let key = required_key(request.key)?;
-        Ok(Response::new(self.read_from(key, request.offset_bytes)))
+        let held = self.shared.core().epoch_of(&key);
+        if held != Some(DispatchEpoch(request.dispatch_epoch)) {
+            return Err(Status::not_found("this dispatch is not held"));
+        }
+        Ok(Response::new(self.read_held(key, request.offset_bytes)?))
     }
 
     async fn settle(
         &self,
         request: Request<v1::SettleRequest>,
     ) -> Result<Response<v1::SettleReply>, Status> {
-        let key = required_key(request.into_inner().key)?;
-        let settlement = self.shared.core().settle(&key, self.shared.clock.now());
-        let state = match settlement {
-            Settlement::Withdrawn => v1::RequestState::Withdrawn,
-            Settlement::Queued => v1::RequestState::Queued,
-            Settlement::Running => v1::RequestState::Running,
-            Settlement::Finished => v1::RequestState::Finished,
-            Settlement::NotRun => v1::RequestState::NotRun,
+        let request = request.into_inner();
+        let key = required_key(request.key)?;
+        let epoch = DispatchEpoch(request.dispatch_epoch);
+        let state = match request.claim.map(Claim::from) {
+            Some(claim) => {
+                let settlement = self.shared.core().settle(&key, epoch, self.shared.clock.now());
+                state_of_once(self.shared.once().settle(&key, &claim, settlement))
+            }
+            None if self.is_other_process(&request.process) => v1::RequestState::OtherProcess,
+            None => state_of(self.shared.core().settle(&key, epoch, self.shared.clock.now())),
         };
-        Ok(Response::new(v1::SettleReply { state: state.into() }))
+        Ok(Response::new(v1::SettleReply {
+            state: state.into(),
+            process: self.shared.process.as_str().to_owned(),
+        }))
     }
 
     async fn cancel(
         &self,
         request: Request<v1::CancelRequest>,
     ) -> Result<Response<v1::CancelReply>, Status> {
-        let key = required_key(request.into_inner().key)?;
-        let actions = self.shared.core().cancel(&key, self.shared.clock.now());
+        let request = request.into_inner();
+        let key = required_key(request.key)?;
+        if self.is_other_process(&request.process) {
+            let state = v1::RequestState::OtherProcess.into();
+            return Ok(Response::new(v1::CancelReply { state }));
+        }
+        let epoch = DispatchEpoch(request.dispatch_epoch);
+        let (settlement, actions) = self.shared.core().cancel(&key, epoch, self.shared.clock.now());
         self.shared.perform(actions);
-        Ok(Response::new(v1::CancelReply {}))
+        Ok(Response::new(v1::CancelReply { state: state_of(settlement).into() }))
     }
 
     async fn report(
@@ -105,36 +156,100 @@
         Ok(Response::new(v1::ReportReply {
             upstream: self.shared.settings.upstream.as_str().to_owned(),
             process: self.shared.process.as_str().to_owned(),
-            configuration_version: 0,
+            configuration_version: self.shared.in_force.version().0,
             load: Some(self.shared.core().load().into()),
         }))
     }
+
+    async fn order(
+        &self,
+        request: Request<v1::OrderRequest>,
+    ) -> Result<Response<v1::OrderReply>, Status> {
+        let order: Order = request.into_inner().try_into().map_err(invalid)?;
+        let result = orders::pass_on(self.shared.clone(), order).await;
+        let refused = result.err().map(|refusal| (&refusal).into());
+        Ok(Response::new(v1::OrderReply { refused }))
+    }
 }
 
 impl Rpc {
-    fn read_from(&self, key: RequestKey, offset_bytes: u64) -> EventStream {
+    /// Admits a request unless the index that allowed it has been replaced.
+    fn admit(&self, dispatch: Dispatch) -> (Admission, Vec<Action>) {
+        let registry = index::lock(&self.shared.registry);
+        if let Some(by) = &dispatch.registration
+            && registry.fence.judge(&dispatch.key, by) == Standing::Outdated
+        {
+            let refusal = Refusal::not_run(ResultCode::StaleFencingToken);
+            return (Admission::Refused(refusal), Vec::new());
+        }
+        self.shared.core().dispatch(dispatch, self.shared.clock.now())
+    }
+
+    fn is_other_process(&self, meant: &str) -> bool {
+        !meant.is_empty() && meant != self.shared.process.as_str()
+    }
+
+    /// Reads out the dispatch of a request that is held.
+    fn read_held(&self, key: RequestKey, offset_bytes: u64) -> Result<EventStream, Status> {
         let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
-        tokio::spawn(read_out(self.shared.clone(), key, Cursor::at(offset_bytes), sender));
-        ReceiverStream::new(receiver)
+        let reader = Reader::join(self.shared.clone(), key)
+            .ok_or_else(|| Status::not_found("this request is not held"))?;
+        tokio::spawn(read_out(reader, Cursor::at(offset_bytes), sender));
+        Ok(ReceiverStream::new(receiver))
     }
 
-    async fn say(&self, key: &RequestKey, event: &AnswerEvent) -> EventStream {
+    fn refuse(&self, key: &RequestKey, epoch: DispatchEpoch, refusal: Refusal) -> EventStream {
         let (sender, receiver) = mpsc::channel(1);
-        let _ = sender.send(Ok(message(&self.shared, key, event))).await;
+        let event = AnswerEvent::Refused(refusal);
+        let _ = sender.try_send(Ok(message(&self.shared, key, epoch, event)));
         ReceiverStream::new(receiver)
     }
 }
 
-/// Sends one reader what it is due until the end or until it goes away.
-async fn read_out(
+fn state_of(settlement: Settlement) -> v1::RequestState {
+    match settlement {
+        Settlement::Withdrawn => v1::RequestState::Withdrawn,
+        Settlement::Queued => v1::RequestState::Queued,
+        Settlement::Running => v1::RequestState::Running,
+        Settlement::Finished => v1::RequestState::Finished,
+        Settlement::NotRun => v1::RequestState::NotRun,
+    }
+}
+
+/// One reader of a dispatch; the core knows of it until it is dropped.
+struct Reader {
     shared: Arc<Shared>,
     key: RequestKey,
+    epoch: DispatchEpoch,
+}
+
+impl Reader {
+    fn join(shared: Arc<Shared>, key: RequestKey) -> Option<Reader> {
+        let epoch = {
+            let mut core = shared.core();
+            core.join_reader(&key);
+            core.epoch_of(&key)?
+        };
+        Some(Reader { shared, key, epoch })
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.shared.core().leave_reader(&self.key, self.shared.clock.now());
+    }
+}
+
+/// Sends one reader what it is due until the end or until it goes away.
+async fn read_out(
+    reader: Reader,
     mut cursor: Cursor,
     sender: mpsc::Sender<Result<v1::DispatchEvent, Status>>,
 ) {
-    let mut grown = shared.subscribe(&key);
+    let Reader { shared, key, epoch } = &reader;
+    let mut grown = shared.subscribe(key);
     loop {
-        let step = shared.core().read(&key, &mut cursor);
+        let step = shared.core().read(key, *epoch, &mut cursor);
         let event = match step {
             ReadStep::Event(event) => event,
             ReadStep::End => return,
@@ -144,32 +259,41 @@
                     changed = changed => match changed {
                         Ok(_) => continue,
                         Err(_) => AnswerEvent::Progress {
-                            handed_over: shared.core().is_handed_over(&key),
+                            handed_over: shared.core().is_handed_over(key),
                         },
                     },
                     () = sender.closed() => return,
                 }
             }
         };
-        if sender.send(Ok(message(&shared, &key, &event))).await.is_err() {
+        if sender.send(Ok(message(shared, key, *epoch, event))).await.is_err() {
             return;
         }
     }
 }
 
-fn message(shared: &Shared, key: &RequestKey, event: &AnswerEvent) -> v1::DispatchEvent {
-    v1::DispatchEvent {
-        key: Some(key.into()),
-        dispatch_epoch: 0,
-        load: Some(shared.core().load().into()),
-        event: Some(event.into()),
+fn message(
+    shared: &Shared,
+    key: &RequestKey,
+    epoch: DispatchEpoch,
+    event: AnswerEvent,
+) -> v1::DispatchEvent {
+    let load = shared.core().load();
+    Envelope { key: key.clone(), epoch, load, event }.into()
+}
+
+fn state_of_once(settled: Settled) -> v1::RequestState {
+    match settled {
+        Settled::Known(settlement) => state_of(settlement),
+        Settled::Ran => v1::RequestState::Ran,
+        Settled::Unknown => v1::RequestState::Unknown,
     }
 }
 
-fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
+pub(super) fn required_key(key: Option<v1::RequestKey>) -> Result<RequestKey, Status> {
     key.map(RequestKey::from).ok_or_else(|| Status::invalid_argument("key is missing"))
 }
 
-fn invalid(error: wire::WireError) -> Status {
+pub(super) fn invalid(error: wire::WireError) -> Status {
     Status::invalid_argument(error.to_string())
 }
--- a/components/agent/src/upstream/service.rs
+++ b/components/agent/src/upstream/service.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use errors::{Refusal, ResultCode};
 use tokio::sync::mpsc;
-use web::{Client, ClientError, Request};
-use wire::{Dispatch, RequestKey, Work};
+use web::{Client, ClientError, ClientResponse, Request};
+use wire::{Dispatch, Order, RequestKey, Work};
 
 use super::Upstream;
 use crate::core::UpstreamEvent;
@@ -45,11 +46,20 @@
         relay(&self.client, self.address, request, patience, events).await;
     }
 
+    async fn resume(&self, _key: &RequestKey, _offset_bytes: u64) -> Option<ClientResponse> {
+        None
+    }
+
     async fn abort(&self, _key: &RequestKey) {}
+
+    async fn order(&self, _order: &Order) -> Result<(), Refusal> {
+        let refusal = Refusal::not_run(ResultCode::NotPermitted);
+        Err(refusal.with_message("A plain service takes no orders."))
+    }
 }
 
 /// Sends a request and passes on what comes back, as it comes.
-pub(super) async fn relay(
+async fn relay(
     client: &Client,
     address: SocketAddr,
     request: Request,
--- a/components/replay/src/simulation/endings.rs
+++ b/components/replay/src/simulation/endings.rs
@@ -2,6 +2,7 @@
 
 use errors::{Outcome, Refusal, ResultCode};
 
+use super::upstream::FIRST_EPOCH;
 use super::{Simulation, key_of};
 use crate::engine::Prefill;
 use crate::figures::End;
@@ -61,7 +62,8 @@
         }
         self.end(request, if ran { End::Late } else { End::Shed });
         let now = self.now();
-        let actions = self.upstreams[upstream].core.cancel(&key_of(customer, request), now);
+        let key = key_of(customer, request);
+        let (_, actions) = self.upstreams[upstream].core.cancel(&key, FIRST_EPOCH, now);
         self.perform(upstream, actions, Some(request));
     }
 
--- a/components/replay/src/simulation/mod.rs
+++ b/components/replay/src/simulation/mod.rs
@@ -218,9 +218,12 @@
         }
         let spec = &self.trace.requests[request];
         let left_us = (spec.at_us + spec.deadline_ms * 1_000).saturating_sub(self.now_us);
-        let dispatch = dispatch_of(key_of(spec.customer, request), spec, left_us);
+        let key = key_of(spec.customer, request);
+        let dispatch = dispatch_of(key.clone(), spec, left_us);
         let now = self.now();
-        let (admission, actions) = self.upstreams[upstream].core.dispatch(dispatch, now);
+        let core = &mut self.upstreams[upstream].core;
+        let (admission, actions) = core.dispatch(dispatch, now);
+        core.join_reader(&key);
         self.perform(upstream, actions, None);
         if let Admission::Refused(refusal) = admission {
             self.refused(request, upstream, &refusal);
--- a/components/replay/src/simulation/upstream.rs
+++ b/components/replay/src/simulation/upstream.rs
@@ -36,7 +36,7 @@
     /// The refusal that ends a request's transcript, where one does.
     pub(super) fn final_refusal(&self, key: &RequestKey) -> Option<Refusal> {
         let mut cursor = Cursor::at(PAST_ANY_ANSWER_BYTES);
-        while let ReadStep::Event(event) = self.core.read(key, &mut cursor) {
+        while let ReadStep::Event(event) = self.core.read(key, FIRST_EPOCH, &mut cursor) {
             if let AnswerEvent::Refused(refusal) = event {
                 return Some(refusal);
             }
@@ -45,6 +45,9 @@
     }
 }
 
+/// The epoch of every dispatch: a request goes to each upstream once.
+pub(super) const FIRST_EPOCH: DispatchEpoch = DispatchEpoch(1);
+
 pub(super) fn dispatch_of(key: RequestKey, spec: &RequestSpec, left_us: u64) -> Dispatch {
     let work = if spec.service {
         Work::Service(ServiceCall {
@@ -65,10 +68,12 @@
     };
     Dispatch {
         key,
-        epoch: DispatchEpoch(1),
+        epoch: FIRST_EPOCH,
         tier: Tier(spec.tier),
         time_left: Duration::from_micros(left_us),
         config_version: ConfigVersion(1),
         work,
+        process: None,
+        registration: None,
     }
 }
