--- a/components/scenario/src/fleet/start.rs
+++ b/components/scenario/src/fleet/start.rs
@@ -43,8 +43,8 @@
             runtime,
         };
         fleet.start_platform()?;
-        fleet.start_upstreams()?;
-        fleet.start_entries()?;
+        let peers = fleet.start_entries()?;
+        fleet.start_upstreams(&peers)?;
         let document = fleet.plan.configuration(&fleet.agent_addresses());
         let first = Submission {
             author: "fleet".to_owned(),
@@ -71,7 +71,7 @@
         self.start_standin(HOSTS, &arguments)
     }
 
-    fn start_upstreams(&mut self) -> Result<()> {
+    fn start_upstreams(&mut self, peers: &[SocketAddr]) -> Result<()> {
         for (name, engine) in self.plan.engines.clone() {
             let arguments = [
                 "engine".to_owned(),
@@ -83,14 +83,14 @@
             let standin = format!("engine {name}");
             self.start_standin(&standin, &arguments)?;
             let adapter = json!({ "http_engine": { "address": self.address(&standin)? } });
-            self.start_agent(&name, &engine.zone, engine.slots, adapter)?;
+            self.start_agent(&name, &engine.zone, engine.slots, adapter, peers)?;
         }
         for (name, service) in self.plan.services.clone() {
             let delay = service.delay_ms.to_string();
             let standin = format!("service {name}");
             self.start_standin(&standin, &["service".to_owned(), "--delay-ms".to_owned(), delay])?;
             let adapter = json!({ "http_service": { "address": self.address(&standin)? } });
-            self.start_agent(&name, &service.zone, service.slots, adapter)?;
+            self.start_agent(&name, &service.zone, service.slots, adapter, peers)?;
         }
         Ok(())
     }
@@ -101,16 +101,21 @@
         zone: &str,
         slots: u32,
         adapter: Value,
+        peers: &[SocketAddr],
     ) -> Result<()> {
         let name = format!("agent {upstream}");
         let settings = json!({ "listen": "127.0.0.1:0", "host": upstream, "zone": zone,
-            "upstream": upstream, "adapter": adapter, "slots": slots });
+            "upstream": upstream, "adapter": adapter, "slots": slots,
+            "peers": peers });
         let addresses = self.start_with_settings(&name, &self.programs.agent.clone(), settings)?;
         let address = *addresses.first().context("an agent prints one address")?;
         self.add_link(&format!("to {upstream}"), address)
     }
 
-    fn start_entries(&mut self) -> Result<()> {
+    /// Each entry process lists those before it; the first reads the store. Gives the addresses
+    /// at which they serve each other and the agents.
+    fn start_entries(&mut self) -> Result<Vec<SocketAddr>> {
+        let mut peers = Vec::new();
         let store = self.address(STORE)?;
         for (name, zone) in self.plan.entries.clone() {
             let link = format!("{name} to store");
@@ -118,13 +123,15 @@
             let platform = json!({ "http": {
                 "store": self.link(&link)?.address(), "host_list": self.address(HOSTS)? } });
             let settings = json!({ "listen": "127.0.0.1:0", "operators_listen": "127.0.0.1:0",
-                "host": name, "zone": zone, "platform": platform });
+                "host": name, "zone": zone, "platform": platform,
+                "peers": { "listen": "127.0.0.1:0", "listed": peers } });
             let program = self.programs.entry.clone();
             let addresses = self.start_with_settings(&name, &program, settings)?;
             let operators = *addresses.get(1).context("an entry prints two addresses")?;
             self.operators.insert(name, operators);
+            peers.extend(addresses.get(2));
         }
-        Ok(())
+        Ok(peers)
     }
 
     fn start_standin(&mut self, name: &str, arguments: &[String]) -> Result<()> {
@@ -151,6 +158,9 @@
         for (field, address) in ["listen", "operators_listen"].iter().zip(&addresses) {
             settings[*field] = json!(address);
         }
+        if let Some(address) = addresses.get(2) {
+            settings["peers"]["listen"] = json!(address);
+        }
         std::fs::write(&path, settings.to_string())?;
         Ok(addresses)
     }
