--- a/components/entry/src/shell/delivery.rs
+++ b/components/entry/src/shell/delivery.rs
@@ -9,16 +9,15 @@
 use registry::{Placed, Wish};
 use tokio::sync::mpsc;
 use web::Request;
-use wire::{AnswerEvent, Envelope, RequestKey, Work, v1};
+use wire::{AnswerEvent, Envelope, RequestKey, Work};
 
 use super::Shared;
 use super::answer::{AnswerSink, Given, OpeningSender};
-use super::claims::{Acquired, OnceOnly};
+use super::claims::OnceOnly;
 use super::contact::{Heard, Start};
 use super::registrar::{self, Located};
 use super::target::Target;
 use crate::filters::dispatch::{Dispatch, Event, Next};
-use crate::filters::relay::ANY_EPOCH;
 use crate::filters::{Exchange, Job, View};
 
 pub(super) use super::answer::Opening;
@@ -26,9 +25,6 @@
 /// When to come back to a process that has no configuration yet.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
-/// How often a non-idempotent call is claimed for one upstream.
-const CLAIM_LIMIT: u32 = 4;
-
 /// When to come back where the placement of a request cannot be learnt.
 const UNCLEAR_WAIT: Duration = Duration::from_secs(2);
 
@@ -121,69 +117,15 @@
             self.dispatch.follow(epoch);
             match self.place_again() {
                 Ok(next) => upstream = next,
-                Err(refusal) => return self.finish(End::Refused(refusal)).await,
-            }
-        }
-    }
-
-    /// Claims a non-idempotent call, then follows the request. Where the agent refused the claim
-    /// itself, because another asked after it or the agent is a new process, it is claimed anew.
-    async fn attempt(&mut self, upstream: &UpstreamId) -> End {
-        if self.once.is_none() {
-            return self.try_upstream(upstream).await;
-        }
-        for _ in 1..CLAIM_LIMIT {
-            let end = self.attempt_claimed(upstream).await;
-            if !matches!(&end, End::Refused(refusal) if is_withdrawn(refusal)) {
-                return end;
-            }
-        }
-        self.attempt_claimed(upstream).await
-    }
-
-    async fn attempt_claimed(&mut self, upstream: &UpstreamId) -> End {
-        let Some(once) = &mut self.once else { return End::PlaceAgain };
-        let acquired = once.acquire(upstream).await;
-        if let Some(key) = once.request_key() {
-            self.dispatch.rename(key.clone());
-            self.key = key;
-        }
-        let end = match acquired {
-            Acquired::Dispatch(claim) => self.follow_claimed(upstream, claim).await,
-            Acquired::Join(upstream) => self.join_claimed(&upstream).await,
-            Acquired::PlaceAgain => self.not_sent(),
-            Acquired::Replay(answer) => {
-                self.on_head(answer.status, answer.content_type);
-                self.answer.push(answer.body.into()).await;
-                End::Whole
-            }
-            Acquired::Refused(refusal) => End::Refused(refusal),
-        };
-        if let (End::PlaceAgain | End::Refused(_), Some(once)) = (&end, &self.once) {
-            once.forget_process(upstream);
-        }
-        end
-    }
-
-    async fn follow_claimed(&mut self, upstream: &UpstreamId, claim: v1::Claim) -> End {
-        match Target::connect(&self.shared, upstream).await {
-            Ok(target) => {
-                let start = Start::HandOver { registration: None, claim: Some(claim) };
-                self.follow(target, start).await
+                Err(refusal) => {
+                    let end = self.give_up(refusal).await;
+                    return self.finish(end).await;
+                }
             }
-            Err(_) => self.not_sent(),
-        }
-    }
-
-    async fn join_claimed(&mut self, upstream: &UpstreamId) -> End {
-        self.dispatch.join(ANY_EPOCH);
-        match Target::connect(&self.shared, upstream).await {
-            Ok(target) => self.follow(target, Start::Join).await,
-            Err(_) => End::Refused(unclear()),
         }
     }
 
-    fn on_head(&mut self, status: u16, content_type: String) {
+    pub(super) fn on_head(&mut self, status: u16, content_type: String) {
         if let Some(once) = &mut self.once {
             once.on_head(status, &content_type);
         }
@@ -191,7 +133,7 @@
     }
 
     /// Gets the request to an upstream and follows it there.
-    async fn try_upstream(&mut self, upstream: &UpstreamId) -> End {
+    pub(super) async fn try_upstream(&mut self, upstream: &UpstreamId) -> End {
         let target = match Target::connect(&self.shared, upstream).await {
             Ok(target) => target,
             Err(status) => {
@@ -357,7 +299,7 @@
     }
 }
 
-fn is_withdrawn(refusal: &Refusal) -> bool {
+pub(super) fn is_withdrawn(refusal: &Refusal) -> bool {
     refusal.code == ResultCode::Withdrawn && refusal.outcome == Outcome::NotRun
 }
 
@@ -369,7 +311,7 @@
 }
 
 /// Nobody can say at the moment whether the request was placed before.
-fn unclear() -> Refusal {
+pub(super) fn unclear() -> Refusal {
     Refusal::new(ResultCode::UpstreamLost, Outcome::Unknown)
         .with_message("It cannot be learnt at the moment whether this request was placed before.")
         .with_retry_after(UNCLEAR_WAIT)
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod answer;
 mod callers;
+mod claimed;
 mod claims;
 mod contact;
 mod decisions;
