Test that an answer is read on where the connection to the engine falls silent

Cause: the stand-in engine can resume by now; until then the agent's side of silence had no test.

Conclusion: silence is covered in both directions.

--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -188,3 +188,20 @@
     let text = read_raw(&mut slow[0]).await;
     assert!(text.contains("data: [DONE]"), "{}", &text[text.len() - 200..]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_read_on_where_the_connection_to_the_engine_falls_silent() {
+    const TOKENS: u32 = 120;
+    let engine = engine(100);
+    let relay = Relay::spawn(engine.server.address()).await;
+    let agent = agent("a", relay.address, 4).await;
+    let cluster = Cluster::spawn(1, &[("a", agent.address())]).await;
+    let entry = cluster.entries[0].callers_address();
+    let call = Call::streamed("", TOKENS);
+    let mut response = cluster.ask(entry, &call).await;
+    let first = response.body.recv().await.unwrap().unwrap();
+    relay.silence();
+    let text = String::from_utf8_lossy(&first).into_owned() + &read(&mut response).await;
+    assert!(is_whole(&text, TOKENS), "{text}");
+    assert_eq!(engine.engine.starts().values().copied().collect::<Vec<_>>(), [1]);
+}
