--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -32,9 +32,6 @@
 /// How long a model request goes on while nobody reads its answer.
 const KEEP_UNREAD: Duration = Duration::from_secs(10);
 
-/// Stands for any dispatch of a request.
-pub const ANY_EPOCH: DispatchEpoch = DispatchEpoch(0);
-
 /// Longest answer that is held.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 
@@ -145,6 +142,15 @@
 
     /// An agent with some rules switched off.
     pub fn with_rules(limit: u32, rules: AgentRules) -> Core {
+        Core::with_bounds(limit, rules, HeldLimits::default())
+    }
+
+    /// An agent with bounds of its own on the answers that are held.
+    pub fn with_held_limits(limit: u32, held: HeldLimits) -> Core {
+        Core::with_bounds(limit, AgentRules::default(), held)
+    }
+
+    fn with_bounds(limit: u32, rules: AgentRules, held: HeldLimits) -> Core {
         Core {
             rules,
             pace: Pace::new(limit),
@@ -152,15 +158,10 @@
             leaving: false,
             queue: Queue::new(),
             records: HashMap::new(),
-            held: HeldAnswers::new(HeldLimits::default()),
+            held: HeldAnswers::new(held),
         }
     }
 
-    /// An agent with bounds of its own on the answers that are held.
-    pub fn with_held_limits(limit: u32, held: HeldLimits) -> Core {
-        Core { held: HeldAnswers::new(held), ..Core::new(limit) }
-    }
-
     /// Takes a request, or says why not.
     pub fn dispatch(&mut self, dispatch: Dispatch, now: Instant) -> (Admission, Vec<Action>) {
         if let Some(record) = self.records.get(&dispatch.key)
@@ -209,23 +210,18 @@
         actions
     }
 
-    /// Says what became of a request; a dispatch never seen is refused from now on. Epoch 0 stands
-    /// for any.
+    /// Says what became of a request; a dispatch never seen is refused from now on.
     pub fn settle(&mut self, key: &RequestKey, epoch: DispatchEpoch, now: Instant) -> Settlement {
         match self.records.get(key) {
-            Some(record) if epoch == ANY_EPOCH => record.settlement(),
-            None if epoch == ANY_EPOCH => self.withdraw(key, DispatchEpoch(u64::MAX), now),
             Some(record) if record.epoch > epoch => Settlement::NotRun,
             Some(record) if !record.gives_way_to(epoch) => record.settlement(),
-            _ => self.withdraw(key, epoch, now),
+            _ => {
+                self.records.insert(key.clone(), Record::withdrawn(epoch, now));
+                Settlement::Withdrawn
+            }
         }
     }
 
-    fn withdraw(&mut self, key: &RequestKey, epoch: DispatchEpoch, now: Instant) -> Settlement {
-        self.records.insert(key.clone(), Record::withdrawn(epoch, now));
-        Settlement::Withdrawn
-    }
-
     /// Ends a request whose caller is gone, and says how far it had come.
     pub fn cancel(
         &mut self,
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -65,10 +65,10 @@
     process: ProcessId,
     clock: Arc<dyn Clock>,
     core: Mutex<Core>,
-    /// Locked before the core where both are.
-    registry: Mutex<index::Registry>,
     once: Mutex<Once>,
     orders: Mutex<Orders>,
+    /// Locked before the core where both are.
+    registry: Mutex<index::Registry>,
     upstream: Arc<dyn Upstream>,
     in_force: Arc<InForce>,
     peers: PeersHandle,
@@ -100,12 +100,12 @@
             in_force: in_force.clone(),
             clock: self.clock.clone(),
         }
-        .spawn();
+        .spawn()?;
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(self.settings.slots)),
-            registry: Mutex::new(index::Registry::new(&*self.clock)),
             orders: Mutex::new(Orders::new(process.clone())),
             once: Mutex::new(Once::new(process.clone(), once::CAPACITY)),
+            registry: Mutex::new(index::Registry::new(&*self.clock)),
             settings: self.settings,
             process,
             clock: self.clock,
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -17,7 +17,7 @@
 
 use super::{Shared, index, orders};
 use crate::controllers::once::{Admit, Settled};
-use crate::core::{ANY_EPOCH, Action, Admission, Cursor, ReadStep, Settlement};
+use crate::core::{Action, Admission, Cursor, ReadStep, Settlement};
 
 /// Events on their way to one entry process.
 const STREAM_QUEUE: usize = 32;
@@ -74,16 +74,21 @@
         let dispatch: Dispatch = request.try_into().map_err(invalid)?;
         self.shared.peers.hear(dispatch.config_version, None);
         let (key, epoch) = (dispatch.key.clone(), dispatch.epoch);
-        if dispatch.process.as_ref().is_some_and(|process| *process != self.shared.process) {
-            let refusal = Refusal::not_run(ResultCode::NoUpstream);
-            return Ok(Response::new(self.refuse(&key, epoch, refusal)));
-        }
         match claim.map(|claim| self.shared.once().admit(&key, &claim)) {
             Some(Admit::Refuse(refusal)) => {
                 return Ok(Response::new(self.refuse(&key, epoch, refusal)));
             }
             Some(Admit::Seen) => return Ok(Response::new(self.read_held(key, 0)?)),
-            Some(Admit::Pass) | None => {}
+            Some(Admit::Pass) => {}
+            None if dispatch
+                .process
+                .as_ref()
+                .is_some_and(|meant| *meant != self.shared.process) =>
+            {
+                let refusal = Refusal::not_run(ResultCode::NoUpstream);
+                return Ok(Response::new(self.refuse(&key, epoch, refusal)));
+            }
+            None => {}
         }
         let (admission, actions) = self.admit(dispatch);
         self.shared.perform(actions);
@@ -101,8 +106,7 @@
         let request = request.into_inner();
         let key = required_key(request.key)?;
         let held = self.shared.core().epoch_of(&key);
-        let wanted = DispatchEpoch(request.dispatch_epoch);
-        if held.is_none() || (wanted != ANY_EPOCH && held != Some(wanted)) {
+        if held != Some(DispatchEpoch(request.dispatch_epoch)) {
             return Err(Status::not_found("this dispatch is not held"));
         }
         Ok(Response::new(self.read_held(key, request.offset_bytes)?))
@@ -114,15 +118,14 @@
     ) -> Result<Response<v1::SettleReply>, Status> {
         let request = request.into_inner();
         let key = required_key(request.key)?;
-        let state = if self.is_other_process(&request.process) {
-            v1::RequestState::OtherProcess
-        } else {
-            let epoch = DispatchEpoch(request.dispatch_epoch);
-            let settlement = self.shared.core().settle(&key, epoch, self.shared.clock.now());
-            state_of(match request.claim.map(Claim::from) {
-                Some(claim) => self.shared.once().settle(&key, &claim, settlement),
-                None => Settled::Known(settlement),
-            })
+        let epoch = DispatchEpoch(request.dispatch_epoch);
+        let state = match request.claim.map(Claim::from) {
+            Some(claim) => {
+                let settlement = self.shared.core().settle(&key, epoch, self.shared.clock.now());
+                state_of_once(self.shared.once().settle(&key, &claim, settlement))
+            }
+            None if self.is_other_process(&request.process) => v1::RequestState::OtherProcess,
+            None => state_of(self.shared.core().settle(&key, epoch, self.shared.clock.now())),
         };
         Ok(Response::new(v1::SettleReply {
             state: state.into(),
@@ -143,7 +146,7 @@
         let epoch = DispatchEpoch(request.dispatch_epoch);
         let (settlement, actions) = self.shared.core().cancel(&key, epoch, self.shared.clock.now());
         self.shared.perform(actions);
-        Ok(Response::new(v1::CancelReply { state: state_of(Settled::Known(settlement)).into() }))
+        Ok(Response::new(v1::CancelReply { state: state_of(settlement).into() }))
     }
 
     async fn report(
@@ -203,6 +206,16 @@
     }
 }
 
+fn state_of(settlement: Settlement) -> v1::RequestState {
+    match settlement {
+        Settlement::Withdrawn => v1::RequestState::Withdrawn,
+        Settlement::Queued => v1::RequestState::Queued,
+        Settlement::Running => v1::RequestState::Running,
+        Settlement::Finished => v1::RequestState::Finished,
+        Settlement::NotRun => v1::RequestState::NotRun,
+    }
+}
+
 /// One reader of a dispatch; the core knows of it until it is dropped.
 struct Reader {
     shared: Arc<Shared>,
@@ -269,13 +282,9 @@
     Envelope { key: key.clone(), epoch, load, event }.into()
 }
 
-fn state_of(settled: Settled) -> v1::RequestState {
+fn state_of_once(settled: Settled) -> v1::RequestState {
     match settled {
-        Settled::Known(Settlement::Withdrawn) => v1::RequestState::Withdrawn,
-        Settled::Known(Settlement::Queued) => v1::RequestState::Queued,
-        Settled::Known(Settlement::Running) => v1::RequestState::Running,
-        Settled::Known(Settlement::Finished) => v1::RequestState::Finished,
-        Settled::Known(Settlement::NotRun) => v1::RequestState::NotRun,
+        Settled::Known(settlement) => state_of(settlement),
         Settled::Ran => v1::RequestState::Ran,
         Settled::Unknown => v1::RequestState::Unknown,
     }
--- a/components/agent/tests/tiers.rs
+++ b/components/agent/tests/tiers.rs
@@ -21,14 +21,14 @@
         tier: Tier(tier),
         time_left: Duration::from_secs(600),
         config_version: ConfigVersion(1),
-        process: None,
-        registration: None,
         work: Work::Model(ModelCall {
             model: ModelId::new("m"),
             body: Bytes::new(),
             prompt_tokens,
             max_tokens: 10,
         }),
+        process: None,
+        registration: None,
     }
 }
 
@@ -125,7 +125,11 @@
             0 => {
                 let id = self.tiers.len();
                 self.tiers.push(value % 4);
-                self.core.dispatch(model_call(id, value % 4, 100 + u32::from(value) * 100), now).1
+                let call = model_call(id, value % 4, 100 + u32::from(value) * 100);
+                let (_, actions) = self.core.dispatch(call, now);
+                // Somebody reads each answer, as an entry process does.
+                self.core.join_reader(&key(id));
+                actions
             }
             1 => self.say(value, UpstreamEvent::Finished),
             2 => self.say(value, UpstreamEvent::Data(Bytes::from_static(b"t"))),
--- a/components/entry/src/filters/dispatch.rs
+++ b/components/entry/src/filters/dispatch.rs
@@ -113,12 +113,6 @@
         Dispatch { key, placements: 1, lost_contacts: 0, sent: false, joined: false, relay }
     }
 
-    /// Follows the request under another key; a claim gives one of its own.
-    pub fn rename(&mut self, key: RequestKey) {
-        self.key = key;
-        self.follow(self.epoch());
-    }
-
     /// The dispatch that is followed.
     pub fn epoch(&self) -> DispatchEpoch {
         self.relay.epoch()
@@ -132,6 +126,12 @@
         self.joined = false;
     }
 
+    /// Follows another dispatch, under a key of its own.
+    pub fn follow_as(&mut self, key: RequestKey, epoch: DispatchEpoch) {
+        self.key = key;
+        self.follow(epoch);
+    }
+
     /// Follows a dispatch that somebody made earlier. If it did not run, this attempt still may.
     pub fn join(&mut self, epoch: DispatchEpoch) {
         self.follow(epoch);
--- a/components/entry/src/filters/relay.rs
+++ b/components/entry/src/filters/relay.rs
@@ -6,9 +6,6 @@
 use identity::DispatchEpoch;
 use wire::{AnswerEvent, Envelope, RequestKey};
 
-/// Stands for whichever dispatch the agent holds; the first event tells which.
-pub const ANY_EPOCH: DispatchEpoch = DispatchEpoch(0);
-
 /// How far an answer has been taken.
 #[derive(Debug)]
 pub struct Relay {
@@ -65,9 +62,6 @@
 
     /// Takes the next event of the answer.
     pub fn take(&mut self, envelope: Envelope) -> Taken {
-        if self.epoch == ANY_EPOCH && envelope.key == self.key {
-            self.epoch = envelope.epoch;
-        }
         if envelope.key != self.key || envelope.epoch != self.epoch {
             return Taken::Crossed;
         }
--- a/components/entry/src/shell/agents.rs
+++ b/components/entry/src/shell/agents.rs
@@ -67,15 +67,6 @@
         opened.cloned()
     }
 
-    /// A new connection to the agent at `address`, whatever is held.
-    pub(crate) async fn reconnect(&self, address: SocketAddr) -> Result<Connection, tonic::Status> {
-        let held = self.slots.load().get(&address).and_then(|slot| slot.connection.get().cloned());
-        if let Some(held) = held {
-            self.replace(address, &held);
-        }
-        self.connect(address).await
-    }
-
     /// Gives a connection up, unless a new one has taken its place already.
     pub(crate) fn replace(&self, address: SocketAddr, given_up: &Connection) {
         let slots = self.slots.load();
--- a/components/entry/src/shell/claims.rs
+++ b/components/entry/src/shell/claims.rs
@@ -1,8 +1,7 @@
 //! Takes a non-idempotent call to its claim, and notes in the claim what became of it.
 
-use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,16 +9,14 @@
 use identity::{ProcessId, UpstreamId};
 use log::{info, warn};
 use platform::{Revision, StoreError, SwapResult};
-use tonic::transport::Channel;
-use wire::v1::agent_client::AgentClient;
 use wire::{RequestKey, ServiceCall, v1};
 
 use super::Shared;
+use super::target::Target;
 use crate::controllers::claims::{
-    ANSWER_LIMIT_BYTES, AgentWord, Claim, Claiming, Event, KeptAnswer, Next, Start, State, Writer,
-    call_digest, milliseconds, read_claim, store_key, sweep_shard,
+    ANSWER_LIMIT_BYTES, AgentWord, CLAIMED_EPOCH, Claim, Claiming, Event, KeptAnswer, Next, Start,
+    State, Writer, call_digest, milliseconds, read_claim, store_key, sweep_shard,
 };
-use crate::filters::relay::ANY_EPOCH;
 
 /// How long an agent may take to answer a question.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -36,24 +33,6 @@
 /// Pause between two sweeps of a shard.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Agent processes last seen beside upstreams.
-#[derive(Debug, Default)]
-pub(crate) struct AgentProcesses(Mutex<HashMap<UpstreamId, ProcessId>>);
-
-impl AgentProcesses {
-    fn get(&self, upstream: &UpstreamId) -> Option<ProcessId> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(upstream).cloned()
-    }
-
-    fn set(&self, upstream: &UpstreamId, process: Option<ProcessId>) {
-        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        match process {
-            Some(process) => processes.insert(upstream.clone(), process),
-            None => processes.remove(upstream),
-        };
-    }
-}
-
 /// How a non-idempotent call goes on.
 pub(super) enum Acquired {
     /// Hand it over under this claim.
@@ -161,9 +140,11 @@
         self.claiming.held().is_some_and(|(_, claim)| claim.agent_process.as_str() == process)
     }
 
-    /// Forgets the agent process of an upstream, so that it is asked for again.
-    pub(super) fn forget_process(&self, upstream: &UpstreamId) {
-        self.shared.agent_processes.set(upstream, None);
+    /// Gives up the connection to an upstream's agent, so that its process is asked for again.
+    pub(super) async fn forget_process(&self, upstream: &UpstreamId) {
+        if let Ok(target) = Target::connect(&self.shared, upstream).await {
+            self.shared.agents.replace(target.address, &target.connection);
+        }
     }
 
     /// Notes the head of the answer.
@@ -226,33 +207,30 @@
     }
 
     async fn learn_process(&self, upstream: &UpstreamId) -> Option<ProcessId> {
-        if let Some(process) = self.shared.agent_processes.get(upstream) {
-            return Some(process);
-        }
-        let mut agent = client(&self.shared, upstream, false).await?;
-        let request = v1::ReportRequest { asked_by: self.shared.process.as_str().to_owned() };
-        let answer = tokio::time::timeout(ASK_TIMEOUT, agent.report(request)).await;
-        let process = ProcessId::new(answer.ok()?.ok()?.into_inner().process);
-        self.shared.agent_processes.set(upstream, Some(process.clone()));
-        Some(process)
+        let target = Target::connect(&self.shared, upstream).await.ok()?;
+        Some(target.process)
     }
 
     /// Asks the agent named in a claim; where it never saw the call, it refuses it from now on.
     async fn settle(&self, claim: &Claim, revision: Revision) -> AgentWord {
-        let Some(mut agent) = client(&self.shared, &claim.upstream, true).await else {
+        let Ok(mut target) = Target::connect(&self.shared, &claim.upstream).await else {
             return AgentWord::Unreachable;
         };
+        // The connection may have fallen silent, which is why one asks.
+        if target.reconnect(&self.shared).await.is_err() {
+            return AgentWord::Unreachable;
+        }
         let request = v1::SettleRequest {
             key: Some((&claim.request_key(revision)).into()),
-            dispatch_epoch: ANY_EPOCH.0,
-            process: String::new(),
+            dispatch_epoch: CLAIMED_EPOCH.0,
+            process: claim.agent_process.to_string(),
             claim: Some((&claim.for_agent(revision)).into()),
         };
-        let answer = tokio::time::timeout(ASK_TIMEOUT, agent.settle(request)).await;
+        let answer =
+            tokio::time::timeout(ASK_TIMEOUT, target.connection.client.settle(request)).await;
         let Ok(Ok(reply)) = answer else { return AgentWord::Unreachable };
         let reply = reply.into_inner();
         let process = ProcessId::new(reply.process.clone());
-        self.shared.agent_processes.set(&claim.upstream, Some(process.clone()));
         match reply.state() {
             v1::RequestState::Withdrawn | v1::RequestState::NotRun => AgentWord::NeverRuns(process),
             v1::RequestState::Queued | v1::RequestState::Running | v1::RequestState::Finished => {
@@ -271,19 +249,6 @@
     Writer { process: process.clone(), nonce: rand::random() }
 }
 
-async fn client(
-    shared: &Shared,
-    upstream: &UpstreamId,
-    fresh: bool,
-) -> Option<AgentClient<Channel>> {
-    let address = shared.in_force.load()?.document.upstreams.get(upstream)?.agent;
-    let connected = match fresh {
-        true => shared.agents.reconnect(address).await,
-        false => shared.agents.connect(address).await,
-    };
-    connected.ok().map(|connection| connection.client)
-}
-
 /// Writes the outcome of a claim, again and again while the store fails.
 async fn note(shared: Arc<Shared>, revision: Revision, claim: Claim) {
     let Ok(text) = claim.to_text() else { return };
--- a/components/entry/src/shell/contact.rs
+++ b/components/entry/src/shell/contact.rs
@@ -23,7 +23,8 @@
 
 /// How a request gets to an upstream.
 pub(super) enum Start {
-    HandOver { registration: Option<Registration>, claim: Option<v1::Claim> },
+    HandOver { registration: Option<Registration> },
+    HandOverClaimed { claim: v1::Claim },
     Join,
 }
 
@@ -46,11 +47,17 @@
         start: Start,
         stream: &mut Option<Events>,
     ) -> Event {
-        let Start::HandOver { registration, claim } = start else {
-            *stream = self.join(target, 0).await;
-            return if stream.is_some() { Event::Sent } else { Event::ContactLost };
+        let message = match start {
+            Start::HandOver { registration } => self.message(target, registration),
+            Start::HandOverClaimed { claim } => {
+                v1::DispatchRequest { claim: Some(claim), ..self.message(target, None) }
+            }
+            Start::Join => {
+                *stream = self.join(target, 0).await;
+                return if stream.is_some() { Event::Sent } else { Event::ContactLost };
+            }
         };
-        match self.hand_over(target, registration, claim).await {
+        match self.hand_over(target, message).await {
             Opened::Stream(opened) => {
                 *stream = Some(*opened);
                 Event::Sent
@@ -64,13 +71,7 @@
         }
     }
 
-    async fn hand_over(
-        &self,
-        target: &Target,
-        registration: Option<Registration>,
-        claim: Option<v1::Claim>,
-    ) -> Opened {
-        let message = v1::DispatchRequest { claim, ..self.message(target, registration) };
+    async fn hand_over(&self, target: &Target, message: v1::DispatchRequest) -> Opened {
         let mut client = target.connection.client.clone();
         match tokio::time::timeout(SILENCE_LIMIT, client.dispatch(message)).await {
             Ok(Ok(opened)) => Opened::Stream(Box::new(opened.into_inner())),
@@ -97,7 +98,10 @@
             () = target.connection.wait_until_replaced() => {
                 return Heard::Event(Event::ContactLost);
             }
-            () = self.answer.wait_until_gone(), if self.once.is_none() => return Heard::CallerGone,
+            // The end of a claimed call is noted in its claim, whoever waits for it.
+            () = self.answer.wait_until_gone(), if self.once.is_none() => {
+                return Heard::CallerGone;
+            }
         };
         Heard::Event(match message {
             Ok(Ok(Some(message))) => match Envelope::try_from(message) {
@@ -135,14 +139,14 @@
         let request = v1::SettleRequest {
             key: Some((&self.key).into()),
             dispatch_epoch: self.dispatch.epoch().0,
-            process: self.named_process(target),
+            process: target.process.to_string(),
             claim: self.once.as_ref().and_then(OnceOnly::claim),
         };
         let mut client = target.connection.client.clone();
         let reply = tokio::time::timeout(ASK_TIMEOUT, client.settle(request)).await.ok()?.ok()?;
         let reply = reply.into_inner();
         if self.once.as_ref().is_some_and(|once| !once.is_named(&reply.process)) {
-            return None;
+            return Some(Settled::ProcessGone);
         }
         settled(reply.state())
     }
@@ -161,10 +165,8 @@
     /// Ends the request at the agent, which says how far it had come. One that was joined is left
     /// to whoever else may read it.
     pub(super) async fn cancel(&self, target: &Target) -> Option<Settled> {
-        if self.dispatch.is_joined() || self.once.is_some() {
-            // A call of a plain service that runs has not been ended by this.
-            let is_open = |settled: &Settled| *settled != Settled::Running || self.is_model();
-            return self.settle(target).await.filter(is_open);
+        if self.dispatch.is_joined() {
+            return self.settle(target).await.map(|settled| self.as_outcome(settled));
         }
         let request = v1::CancelRequest {
             key: Some((&self.key).into()),
@@ -177,15 +179,16 @@
         match reply.into_inner().state() {
             // What waited is taken out by the cancellation.
             v1::RequestState::Queued => Some(Settled::NeverRun),
-            // A call of a plain service goes on.
-            v1::RequestState::Running if !self.is_model() => Some(Settled::Held),
-            state => settled(state),
+            state => settled(state).map(|settled| self.as_outcome(settled)),
         }
     }
 
-    /// The process that a question is meant for; a claim names its own.
-    fn named_process(&self, target: &Target) -> String {
-        if self.once.is_some() { String::new() } else { target.process.to_string() }
+    /// A call of a plain service that was handed over may have had its effect or not.
+    fn as_outcome(&self, settled: Settled) -> Settled {
+        match settled {
+            Settled::Running | Settled::Finished if !self.is_model() => Settled::Held,
+            settled => settled,
+        }
     }
 
     fn message(&self, target: &Target, registration: Option<Registration>) -> v1::DispatchRequest {
@@ -196,7 +199,7 @@
             time_left: self.time_left(),
             config_version: self.shared.in_force.version(),
             work: self.job.work.clone(),
-            process: self.once.is_none().then(|| target.process.clone()),
+            process: Some(target.process.clone()),
             registration,
         };
         (&dispatch).into()
--- a/components/entry/src/shell/delivery.rs
+++ b/components/entry/src/shell/delivery.rs
@@ -13,6 +13,7 @@
 
 use super::Shared;
 use super::answer::{AnswerSink, Given, OpeningSender};
+use super::booking::is_withdrawn;
 use super::claims::OnceOnly;
 use super::contact::{Heard, Start};
 use super::registrar::{self, Located};
@@ -31,6 +32,10 @@
 pub(super) struct Delivery {
     pub(super) shared: Arc<Shared>,
     request: Request,
+    /// The id that the caller knows the request by; `key` is its identity at the agent.
+    pub(super) request_id: RequestId,
+    /// Set for a non-idempotent call.
+    pub(super) once: Option<OnceOnly>,
     pub(super) deadline: Instant,
     pub(super) key: RequestKey,
     pub(super) job: Job,
@@ -40,14 +45,10 @@
     arrived: Instant,
     excluded: Vec<UpstreamId>,
     /// The upstream that is being tried.
-    at: UpstreamId,
+    pub(super) at: UpstreamId,
     /// Where the request is recorded as placed.
     superseded: Option<Placed>,
     pub(super) answer: AnswerSink,
-    /// Set for a non-idempotent call.
-    pub(super) once: Option<OnceOnly>,
-    /// The id that the caller knows the request by; `key` is its identity at the agent.
-    request_id: RequestId,
 }
 
 /// How a request ended, on one upstream or for good.
@@ -78,18 +79,18 @@
                 return;
             }
         };
-        let answer = AnswerSink::new(key.request_id.to_string(), job.streamed, opening, pieces);
         let once = match &job.work {
             Work::Service(call) if job.once_only => {
                 Some(OnceOnly::new(shared.clone(), &key, call, arrived + job.deadline))
             }
             _ => None,
         };
+        let answer = AnswerSink::new(key.request_id.to_string(), job.streamed, opening, pieces);
         let mut delivery = Delivery {
-            once,
-            request_id: key.request_id.clone(),
             shared,
             request,
+            request_id: key.request_id.clone(),
+            once,
             deadline: arrived + job.deadline,
             may_ask_again: given_id.is_some(),
             at: upstream.clone(),
@@ -107,7 +108,7 @@
     async fn run(&mut self, mut upstream: UpstreamId) {
         loop {
             self.at = upstream.clone();
-            match self.attempt(&upstream).await {
+            match self.try_upstream(&upstream).await {
                 End::PlaceAgain if self.dispatch.is_joined() => {}
                 End::PlaceAgain => self.excluded.push(self.at.clone()),
                 End::RegisterAgain => self.superseded = None,
@@ -125,15 +126,11 @@
         }
     }
 
-    pub(super) fn on_head(&mut self, status: u16, content_type: String) {
-        if let Some(once) = &mut self.once {
-            once.on_head(status, &content_type);
-        }
-        self.answer.open(status, content_type);
-    }
-
     /// Gets the request to an upstream and follows it there.
-    pub(super) async fn try_upstream(&mut self, upstream: &UpstreamId) -> End {
+    async fn try_upstream(&mut self, upstream: &UpstreamId) -> End {
+        if self.once.is_some() {
+            return self.try_claimed(upstream).await;
+        }
         let target = match Target::connect(&self.shared, upstream).await {
             Ok(target) => target,
             Err(status) => {
@@ -142,7 +139,7 @@
             }
         };
         if !self.may_ask_again || !self.is_model() {
-            return self.follow(target, Start::HandOver { registration: None, claim: None }).await;
+            return self.follow(target, Start::HandOver { registration: None }).await;
         }
         let wish = Wish {
             key: self.key.clone(),
@@ -157,11 +154,7 @@
                 if self.shared.clock.now() >= until {
                     return self.not_sent();
                 }
-                self.follow(
-                    target,
-                    Start::HandOver { registration: Some(registration), claim: None },
-                )
-                .await
+                self.follow(target, Start::HandOver { registration: Some(registration) }).await
             }
             Located::Held(placed) => self.join_placed(placed).await,
             Located::Unclear => End::Refused(unclear()),
@@ -204,14 +197,17 @@
                     Heard::CallerGone => return self.leave(&target).await,
                 },
             };
-            if let (Some(refusal), true) = (refusal_of(&happened), self.once.is_some())
-                && is_withdrawn(refusal)
-            {
-                return End::Refused(refusal.clone());
+            if let Some(refusal) = self.refused_claim(&happened) {
+                return End::Refused(refusal);
             }
             match self.dispatch.on_event(happened) {
                 Next::Wait => {}
-                Next::Head { status, content_type } => self.on_head(status, content_type),
+                Next::Head { status, content_type } => {
+                    if let Some(once) = &mut self.once {
+                        once.on_head(status, &content_type);
+                    }
+                    self.answer.open(status, content_type);
+                }
                 Next::Piece(bytes) => {
                     if let Some(once) = &mut self.once {
                         once.on_piece(&bytes);
@@ -236,6 +232,18 @@
         }
     }
 
+    /// The refusal where the agent refused the claim, not the call.
+    fn refused_claim(&self, happened: &Event) -> Option<Refusal> {
+        match happened {
+            Event::Said(Envelope { event: AnswerEvent::Refused(refusal), .. })
+                if self.once.is_some() && is_withdrawn(refusal) =>
+            {
+                Some(refusal.clone())
+            }
+            _ => None,
+        }
+    }
+
     /// The caller went away. One who can ask again finds the request where it is; the agent ends
     /// it where nobody comes.
     async fn leave(&self, target: &Target) -> End {
@@ -299,17 +307,6 @@
     }
 }
 
-pub(super) fn is_withdrawn(refusal: &Refusal) -> bool {
-    refusal.code == ResultCode::Withdrawn && refusal.outcome == Outcome::NotRun
-}
-
-fn refusal_of(event: &Event) -> Option<&Refusal> {
-    match event {
-        Event::Said(Envelope { event: AnswerEvent::Refused(refusal), .. }) => Some(refusal),
-        _ => None,
-    }
-}
-
 /// Nobody can say at the moment whether the request was placed before.
 pub(super) fn unclear() -> Refusal {
     Refusal::new(ResultCode::UpstreamLost, Outcome::Unknown)
@@ -327,9 +324,9 @@
 fn admit(shared: &Shared, request: &Request, arrived: Instant) -> Result<Admitted, Refusal> {
     let view = read_view(shared)?;
     let mut exchange = Exchange::new(request, &view, arrived);
-    let passed = shared.chain.run(&mut exchange);
+    let run = shared.chain.run(&mut exchange);
     shared.decisions.record(exchange.key.as_ref(), &exchange, shared.clock.wall());
-    passed.map_err(|(_, refusal)| refusal)?;
+    run.map_err(|(_, refusal)| refusal)?;
     match (exchange.key, exchange.job, exchange.upstream) {
         (Some(key), Some(job), Some(upstream)) => Ok(Admitted { key, job, upstream }),
         _ => Err(Refusal::not_run(ResultCode::Internal)),
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -2,8 +2,8 @@
 
 mod agents;
 mod answer;
+mod booking;
 mod callers;
-mod claimed;
 mod claims;
 mod contact;
 mod decisions;
@@ -74,7 +74,6 @@
     pub(crate) chain: Chain,
     pub(crate) agents: agents::Agents,
     pub(crate) homes: registrar::HomesCache,
-    pub(crate) agent_processes: claims::AgentProcesses,
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -97,7 +96,7 @@
             in_force: in_force.clone(),
             clock: self.clock.clone(),
         }
-        .spawn();
+        .spawn()?;
         let peer_listener = bound.map(|bound| PeerListener::spawn(bound, peers.service()));
         let shared = Arc::new(Shared {
             clock: self.clock,
@@ -109,9 +108,8 @@
             decisions: decisions::Decisions::default(),
             chain: Chain::new(),
             agents: agents::Agents::default(),
-            homes: registrar::HomesCache::default(),
-            agent_processes: claims::AgentProcesses::default(),
             process: ProcessId::random(),
+            homes: registrar::HomesCache::default(),
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
--- a/components/entry/src/shell/target.rs
+++ b/components/entry/src/shell/target.rs
@@ -52,6 +52,11 @@
         Ok(Target { process: placed.process.clone(), ..target })
     }
 
+    /// The same agent, meant as a given process of it.
+    pub(super) fn meant_for(self, process: &str) -> Target {
+        Target { process: ProcessId::new(process), ..self }
+    }
+
     /// Replaces the connection. The address stays, whatever the configuration says by now.
     pub(super) async fn reconnect(&mut self, shared: &Shared) -> Result<(), tonic::Status> {
         shared.agents.replace(self.address, &self.connection);
--- a/components/wire/src/convert.rs
+++ b/components/wire/src/convert.rs
@@ -77,9 +77,9 @@
             time_left_ms: dispatch.time_left.as_millis() as u64,
             configuration_version: dispatch.config_version.0,
             work: Some((&dispatch.work).into()),
+            claim: None,
             process: dispatch.process.as_ref().map_or_else(String::new, ProcessId::to_string),
             registration: dispatch.registration.as_ref().map(Into::into),
-            claim: None,
         }
     }
 }
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -150,19 +150,6 @@
     Refused(Refusal),
 }
 
-/// An event with the dispatch that it belongs to.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Envelope {
-    /// Which request.
-    pub key: RequestKey,
-    /// Which dispatch of it.
-    pub epoch: DispatchEpoch,
-    /// Load of the agent.
-    pub load: LoadDigest,
-    /// The event.
-    pub event: AnswerEvent,
-}
-
 /// An order to an engine, from the holder of a lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
@@ -184,3 +171,16 @@
     /// Give up a model.
     UnloadModel(ModelId),
 }
+
+/// An event with the dispatch that it belongs to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Envelope {
+    /// Which request.
+    pub key: RequestKey,
+    /// Which dispatch of it.
+    pub epoch: DispatchEpoch,
+    /// Load of the agent.
+    pub load: LoadDigest,
+    /// The event.
+    pub event: AnswerEvent,
+}
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -44,7 +44,6 @@
     let settings = EngineSettings {
         prefill_tokens_per_s: 100_000,
         decode_tokens_per_s,
-        batch_cost_permille: 0,
         ..EngineSettings::default()
     };
     let engine = Engine::new(settings, Arc::new(SystemClock));
@@ -191,7 +190,7 @@
              connection: close\r\ncontent-length: {}\r\n\r\n",
             body.len()
         );
-        stream.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+        stream.write_all((head + body.as_str()).as_bytes()).await.unwrap();
         stream
     }
 
@@ -221,5 +220,5 @@
         && events[..tokens as usize]
             .iter()
             .enumerate()
-            .all(|(at, event)| event.contains(&format!("-{at} ")))
+            .all(|(at, event)| event.contains(&format!("-{at} \"")))
 }
