Tell the load of an agent with pieces of an answer every two seconds only

Cause: every event carried the load digest: 21 bytes and a walk over queue and flights for each piece; at the target size 74 KB/s for each entry against 5 KB/s for control. Ruled out: dropping it from pieces altogether, since long streams would then age the report. Change: heads, ends, refusals and progress carry it; a piece carries it after 2 s without. Before: digest on each of 3,500 events a second of an entry. After: about 24 ends and heads and 70 pieces a second, 2 KB/s, by arithmetic (docs/CAPACITY.md).

--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -1,7 +1,7 @@
 //! The agent's side of the protocol between the system's processes.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use errors::{Refusal, ResultCode};
 use identity::DispatchEpoch;
@@ -13,12 +13,15 @@
 use tonic::{Request, Response, Status};
 use wire::v1::agent_server::{Agent as AgentRpc, AgentServer};
 use wire::v1::index_server::IndexServer;
-use wire::{AnswerEvent, Claim, Dispatch, Envelope, Order, RequestKey, v1};
+use wire::{AnswerEvent, Claim, Dispatch, Envelope, LoadDigest, Order, RequestKey, v1};
 
 use super::{Shared, index, orders};
 use crate::controllers::once::{Admit, Settled};
 use crate::core::{Action, Admission, Cursor, ReadStep, Settlement};
 
+/// How long after the load was told on a stream a piece of the answer carries it again.
+const LOAD_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Events on their way to one entry process.
 const STREAM_QUEUE: usize = 32;
 
@@ -201,7 +204,8 @@
     fn refuse(&self, key: &RequestKey, epoch: DispatchEpoch, refusal: Refusal) -> EventStream {
         let (sender, receiver) = mpsc::channel(1);
         let event = AnswerEvent::Refused(refusal);
-        let _ = sender.try_send(Ok(message(&self.shared, key, epoch, event)));
+        let load = Some(self.shared.core().load());
+        let _ = sender.try_send(Ok(Envelope { key: key.clone(), epoch, load, event }.into()));
         ReceiverStream::new(receiver)
     }
 }
@@ -248,6 +252,7 @@
 ) {
     let Reader { shared, key, epoch } = &reader;
     let mut grown = shared.subscribe(key);
+    let mut load_told_at = None;
     loop {
         let step = shared.core().read(key, *epoch, &mut cursor);
         let event = match step {
@@ -266,20 +271,29 @@
                 }
             }
         };
-        if sender.send(Ok(message(shared, key, *epoch, event))).await.is_err() {
+        let load = load_due(shared, &event, &mut load_told_at);
+        let envelope = Envelope { key: key.clone(), epoch: *epoch, load, event };
+        if sender.send(Ok(envelope.into())).await.is_err() {
             return;
         }
     }
 }
 
-fn message(
+/// The load, where it goes with an event: with pieces of an answer only now and then, since at
+/// thousands of pieces a second it would cost an entry process more than its bytes for control.
+fn load_due(
     shared: &Shared,
-    key: &RequestKey,
-    epoch: DispatchEpoch,
-    event: AnswerEvent,
-) -> v1::DispatchEvent {
-    let load = shared.core().load();
-    Envelope { key: key.clone(), epoch, load, event }.into()
+    event: &AnswerEvent,
+    told_at: &mut Option<Instant>,
+) -> Option<LoadDigest> {
+    let now = shared.clock.now();
+    let is_piece = matches!(event, AnswerEvent::Data { .. });
+    let is_recent = told_at.is_some_and(|at| now.saturating_duration_since(at) < LOAD_INTERVAL);
+    if is_piece && is_recent {
+        return None;
+    }
+    *told_at = Some(now);
+    Some(shared.core().load())
 }
 
 fn state_of_once(settled: Settled) -> v1::RequestState {
--- a/components/entry/src/shell/contact.rs
+++ b/components/entry/src/shell/contact.rs
@@ -106,7 +106,9 @@
         Heard::Event(match message {
             Ok(Ok(Some(message))) => match Envelope::try_from(message) {
                 Ok(envelope) => {
-                    target.hear(&self.shared, envelope.load);
+                    if let Some(load) = envelope.load {
+                        target.hear(&self.shared, load);
+                    }
                     Event::Said(envelope)
                 }
                 Err(error) => {
--- a/components/entry/tests/interleavings.rs
+++ b/components/entry/tests/interleavings.rs
@@ -142,7 +142,12 @@
             && matches!(self.doing, Doing::Following(_))
         {
             let event = AnswerEvent::Refused(refusal);
-            self.say(Envelope { key: self.key.clone(), epoch, load: LoadDigest::default(), event });
+            self.say(Envelope {
+                key: self.key.clone(),
+                epoch,
+                load: Some(LoadDigest::default()),
+                event,
+            });
         }
     }
 
@@ -183,7 +188,7 @@
         }
         let epoch = self.dispatch.epoch();
         let ReadStep::Event(event) = host.core.read(&self.key, epoch, cursor) else { return None };
-        Some(Envelope { key: self.key.clone(), epoch, load: LoadDigest::default(), event })
+        Some(Envelope { key: self.key.clone(), epoch, load: Some(LoadDigest::default()), event })
     }
 
     fn read(&mut self) {
--- a/components/wire/src/convert.rs
+++ b/components/wire/src/convert.rs
@@ -128,7 +128,7 @@
         v1::DispatchEvent {
             key: Some((&envelope.key).into()),
             dispatch_epoch: envelope.epoch.0,
-            load: Some(envelope.load.into()),
+            load: envelope.load.map(Into::into),
             event: Some((&envelope.event).into()),
         }
     }
@@ -141,7 +141,7 @@
         Ok(Envelope {
             key: message.key.ok_or(WireError::Missing("key"))?.into(),
             epoch: DispatchEpoch(message.dispatch_epoch),
-            load: message.load.map(Into::into).unwrap_or_default(),
+            load: message.load.map(Into::into),
             event: message.event.ok_or(WireError::Missing("event"))?.try_into()?,
         })
     }
--- a/components/wire/src/event.rs
+++ b/components/wire/src/event.rs
@@ -179,8 +179,8 @@
     pub key: RequestKey,
     /// Which dispatch of it.
     pub epoch: DispatchEpoch,
-    /// Load of the agent.
-    pub load: LoadDigest,
+    /// Load of the agent; not with every event.
+    pub load: Option<LoadDigest>,
     /// The event.
     pub event: AnswerEvent,
 }
