Give each fleet a loopback address of its own

Ruled out: holding the listener until the start (the program binds it itself); trying again, which would hide a program that cannot bind.

Change: entry processes and agents listen on an address of 127/8 that comes from the process id and the number of the fleet; ephemeral ports are taken on 127.0.0.1.

Conclusion: the ports of a process that is ended and started again are safe in the same way.

--- a/components/scenario/src/fleet/mod.rs
+++ b/components/scenario/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 mod start;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -64,6 +64,7 @@
     addresses: BTreeMap<String, SocketAddr>,
     operators: BTreeMap<String, SocketAddr>,
     peers: BTreeMap<String, SocketAddr>,
+    host: Ipv4Addr,
     plan: Plan,
     programs: Programs,
     client: Client,
--- a/components/scenario/src/fleet/start.rs
+++ b/components/scenario/src/fleet/start.rs
@@ -1,8 +1,9 @@
 //! Starts the processes of a plan, in the order in which they need each other's addresses.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -30,13 +31,15 @@
             .enable_all()
             .build()
             .context("runtime")?;
+        let host = own_address();
         let mut fleet = Fleet {
             processes: BTreeMap::new(),
             links: BTreeMap::new(),
             commands: BTreeMap::new(),
             addresses: BTreeMap::new(),
             operators: BTreeMap::new(),
-            peers: reserve_peers(&plan)?,
+            peers: reserve_peers(&plan, host)?,
+            host,
             plan,
             programs,
             client: Client::spawn()?,
@@ -104,7 +107,7 @@
         adapter: Value,
     ) -> Result<()> {
         let name = format!("agent {upstream}");
-        let settings = json!({ "listen": "127.0.0.1:0", "host": upstream, "zone": zone,
+        let settings = json!({ "listen": format!("{}:0", self.host), "host": upstream, "zone": zone,
             "upstream": upstream, "adapter": adapter, "slots": slots,
             "peers": self.listed() });
         let addresses = self.start_with_settings(&name, &self.programs.agent.clone(), settings)?;
@@ -119,7 +122,8 @@
             self.add_link(&link, store)?;
             let platform = json!({ "http": {
                 "store": self.link(&link)?.address(), "host_list": self.address(HOSTS)? } });
-            let settings = json!({ "listen": "127.0.0.1:0", "operators_listen": "127.0.0.1:0",
+            let settings = json!({ "listen": format!("{}:0", self.host),
+                "operators_listen": format!("{}:0", self.host),
                 "host": name, "zone": zone, "platform": platform,
                 "peers": { "listen": self.peers.get(&name), "listed": self.listed() } });
             let program = self.programs.entry.clone();
@@ -211,14 +215,20 @@
     }
 }
 
+/// A loopback address that no other fleet uses, so that nobody takes the port of a process between
+/// its end and its restart, or before its start: everything else binds and connects from 127.0.0.1.
+fn own_address() -> Ipv4Addr {
+    static FLEETS: AtomicU8 = AtomicU8::new(0);
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + fleet % 250, high, low.clamp(1, 254))
+}
+
 /// Takes a free port for the peers' listener of each entry process: every process has to be told
 /// of all of them before any of them runs.
-fn reserve_peers(plan: &Plan) -> Result<BTreeMap<String, SocketAddr>> {
-    let listeners: Vec<TcpListener> = plan
-        .entries
-        .keys()
-        .map(|_| TcpListener::bind(("127.0.0.1", 0)))
-        .collect::<Result<_, _>>()?;
+fn reserve_peers(plan: &Plan, host: Ipv4Addr) -> Result<BTreeMap<String, SocketAddr>> {
+    let listeners: Vec<TcpListener> =
+        plan.entries.keys().map(|_| TcpListener::bind((host, 0))).collect::<Result<_, _>>()?;
     let addresses = listeners.iter().map(TcpListener::local_addr);
     plan.entries.keys().cloned().zip(addresses).map(|(name, found)| Ok((name, found?))).collect()
 }
