Close upstreams to new work by the agent's own word and by contact

Ruled out: trusting 'live' in the list; closing an unreachable agent for a fixed time, which is too long after a blip and too short in a lost zone. The agent now waits until every answer has been read, and then 2 s for connections to close.

--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -363,6 +363,11 @@
         self.in_flight.len() == 0 && self.queue.is_empty()
     }
 
+    /// Whether nothing waits or runs and nobody reads an answer any more.
+    pub fn is_done(&self) -> bool {
+        self.is_idle() && !self.records.values().any(|record| record.readers.are_there())
+    }
+
     /// Load at this moment.
     pub fn load(&self) -> LoadDigest {
         let speed = self.pace.speed();
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -34,9 +34,13 @@
 /// How often a draining agent looks whether it is idle.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
-/// How long readers get to take the last of their answers after the work is done.
+/// How long the last pieces get on their way after every answer has been read.
 const READER_GRACE: Duration = Duration::from_millis(300);
 
+/// How long connections may take to close once every answer has been read; one that its other end
+/// opened and never spoke on would stay for good.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+
 /// How long an upstream may work on a request past its deadline.
 const OVERTIME: Duration = Duration::from_secs(5);
 
@@ -134,12 +138,19 @@
     /// Stops gracefully: takes no new work, finishes what runs, then ends.
     pub async fn stop(self) {
         self.shared.drain();
-        while !self.shared.core().is_idle() {
+        while !self.shared.core().is_done() {
             tokio::time::sleep(DRAIN_POLL).await;
         }
         tokio::time::sleep(READER_GRACE).await;
         let _ = self.stop.send(true);
-        let _ = self.server.await;
+        let mut server = self.server;
+        if tokio::time::timeout(CLOSE_LIMIT, &mut server).await.is_err() {
+            info!(
+                "agent upstream={} gives up connections that stay",
+                self.shared.settings.upstream
+            );
+            server.abort();
+        }
         self.ticker.abort();
         self.shared.peers.stop();
     }
--- a/components/entry/src/controllers/mod.rs
+++ b/components/entry/src/controllers/mod.rs
@@ -3,3 +3,4 @@
 pub mod claims;
 pub mod configuration;
 pub mod leases;
+pub mod membership;
--- a/components/entry/src/filters/mod.rs
+++ b/components/entry/src/filters/mod.rs
@@ -21,6 +21,8 @@
 use web::Request;
 use wire::{LoadDigest, RequestKey, Work};
 
+use crate::controllers::membership::{Member, Standing};
+
 /// What the entry process last heard of an upstream's agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Heard {
@@ -30,10 +32,8 @@
     pub at: Instant,
     /// Requests of this process in flight there.
     pub own_outstanding: u32,
-    /// No new work goes there.
-    pub leaving: bool,
-    /// The agent does not answer.
-    pub unreachable: bool,
+    /// Whether it takes new work.
+    pub member: Member,
 }
 
 /// What filters read; a whole new one is published at each change.
@@ -70,6 +70,13 @@
     pub upstream: Option<UpstreamId>,
 }
 
+impl View {
+    /// Whether an upstream takes new work.
+    pub fn standing(&self, upstream: &UpstreamId, now: Instant) -> Standing {
+        self.heard.get(upstream).map_or(Standing::Open, |heard| heard.member.standing(now))
+    }
+}
+
 impl<'a> Exchange<'a> {
     /// A request that no filter has seen.
     pub fn new(request: &'a Request, view: &'a View, now: Instant) -> Exchange<'a> {
--- a/components/entry/src/filters/place.rs
+++ b/components/entry/src/filters/place.rs
@@ -12,6 +12,8 @@
 use schedule::retry::spread_retry;
 use wire::Work;
 
+use crate::controllers::membership::Standing;
+
 use super::{Exchange, Filter, Step, View};
 
 /// Round trip within a region.
@@ -36,7 +38,7 @@
 
     fn apply(&self, exchange: &mut Exchange<'_>) -> Step {
         let Some(job) = &exchange.job else { return Step::Next };
-        let candidates = find_candidates(exchange.view, &job.work, exchange.excluded);
+        let candidates = find_candidates(exchange, &job.work);
         let ask = Ask {
             size: size_of(&job.work),
             tier: job.tier,
@@ -77,21 +79,19 @@
 }
 
 /// Every upstream that could do the work now.
-fn find_candidates<'a>(view: &'a View, work: &Work, excluded: &[UpstreamId]) -> Vec<Candidate<'a>> {
+fn find_candidates<'a>(exchange: &Exchange<'a>, work: &Work) -> Vec<Candidate<'a>> {
+    let view = exchange.view;
     let document = &view.configuration.document;
     document
         .upstreams
         .iter()
-        .filter(|(name, _)| !excluded.contains(name))
-        .filter(|(name, upstream)| !upstream.draining && is_open(view, name))
+        .filter(|(name, _)| !exchange.excluded.contains(name))
+        .filter(|(_, upstream)| !upstream.draining)
+        .filter(|(name, _)| view.standing(name, exchange.now) == Standing::Open)
         .filter_map(|(name, upstream)| candidate(view, document, name, upstream, work))
         .collect()
 }
 
-fn is_open(view: &View, name: &UpstreamId) -> bool {
-    view.heard.get(name).is_none_or(|heard| !heard.leaving && !heard.unreachable)
-}
-
 fn candidate<'a>(
     view: &'a View,
     document: &Document,
--- a/components/entry/src/shell/contact.rs
+++ b/components/entry/src/shell/contact.rs
@@ -10,6 +10,7 @@
 use super::claims::OnceOnly;
 use super::delivery::Delivery;
 use super::target::Target;
+use crate::controllers::membership;
 use crate::filters::dispatch::{Event, Settled};
 
 /// How long an agent may say nothing before contact counts as lost; it speaks every 500 ms.
@@ -77,6 +78,7 @@
             Ok(Ok(opened)) => Opened::Stream(Box::new(opened.into_inner())),
             Ok(Err(status)) if is_not_sent(&status) => {
                 self.shared.agents.replace(target.address, &target.connection);
+                self.shared.learn(&target.upstream, membership::Event::NotReached);
                 Opened::Failed(Event::NotSent)
             }
             _ => Opened::Failed(Event::ContactLost),
--- a/components/entry/src/shell/decisions.rs
+++ b/components/entry/src/shell/decisions.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use wire::{RequestKey, Work};
 
+use crate::controllers::membership::Standing;
 use crate::filters::Exchange;
 
 /// Placements that are kept.
@@ -106,12 +107,12 @@
 fn row(exchange: &Exchange<'_>, name: &UpstreamId, upstream: &Upstream) -> CandidateRow {
     let heard = exchange.view.heard.get(name);
     let load = heard.map(|heard| heard.load).unwrap_or_default();
-    let closed = match heard {
+    let closed = match exchange.view.standing(name, exchange.now) {
         _ if exchange.excluded.contains(name) => "tried",
         _ if upstream.draining => "draining",
-        Some(heard) if heard.leaving => "leaving",
-        Some(heard) if heard.unreachable => "unreachable",
-        _ => "",
+        Standing::Leaving => "leaving",
+        Standing::Unreachable => "unreachable",
+        Standing::Open => "",
     };
     CandidateRow {
         upstream: name.to_string(),
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -32,6 +32,7 @@
 use web::{Client, Server, ServerHandle};
 
 use crate::controllers::configuration::PendingAudit;
+use crate::controllers::membership::{self, Member};
 use crate::filters::{Chain, Heard, View};
 use crate::{PlatformSettings, Settings};
 use metrics::Metrics;
@@ -199,9 +200,14 @@
             load: wire::LoadDigest::default(),
             at: now,
             own_outstanding: 0,
-            leaving: false,
-            unreachable: false,
+            member: Member::default(),
         });
         change(entry);
     }
+
+    /// Takes what was learnt of an upstream.
+    pub(crate) fn learn(&self, upstream: &UpstreamId, event: membership::Event) {
+        let now = self.clock.now();
+        self.update_heard(upstream, |heard| heard.member.on_event(event, now));
+    }
 }
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -23,6 +23,7 @@
 use super::claims::new_writer;
 use crate::controllers::claims::{Settlement, list_unsettled, settle_claim};
 use crate::controllers::configuration::submit;
+use crate::controllers::membership::Standing;
 
 /// Records given where the query names no limit.
 const DEFAULT_LIMIT: usize = 20;
@@ -229,9 +230,11 @@
 fn upstreams(shared: &Shared) -> Vec<UpstreamRow> {
     let Some(snapshot) = shared.in_force.load() else { return Vec::new() };
     let heard = shared.heard().clone();
+    let now = shared.clock.now();
     let rows = snapshot.document.upstreams.iter().map(|(name, upstream)| {
         let seen = heard.get(name);
         let load = seen.map(|heard| heard.load).unwrap_or_default();
+        let standing = seen.map_or(Standing::Open, |heard| heard.member.standing(now));
         UpstreamRow {
             upstream: name.to_string(),
             host: upstream.host.to_string(),
@@ -240,9 +243,9 @@
             queued: load.queued,
             running: load.running,
             own_outstanding: seen.map_or(0, |heard| heard.own_outstanding),
-            leaving: seen.is_some_and(|heard| heard.leaving) || load.leaving,
+            leaving: standing == Standing::Leaving,
             draining: upstream.draining,
-            unreachable: seen.is_some_and(|heard| heard.unreachable),
+            unreachable: standing == Standing::Unreachable,
         }
     });
     rows.collect()
--- a/components/entry/src/shell/refresh.rs
+++ b/components/entry/src/shell/refresh.rs
@@ -8,6 +8,7 @@
 
 use super::Shared;
 use crate::controllers::configuration::flush_audit;
+use crate::controllers::membership::Event;
 
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -31,6 +32,7 @@
     };
     for (name, upstream) in &snapshot.document.upstreams {
         let leaving = hosts.get(&upstream.host) != Some(&HostState::Live);
-        shared.update_heard(name, |heard| heard.leaving = leaving);
+        let now = shared.clock.now();
+        shared.update_heard(name, |heard| heard.member.on_event(Event::Listed { leaving }, now));
     }
 }
--- a/components/entry/src/shell/target.rs
+++ b/components/entry/src/shell/target.rs
@@ -9,6 +9,7 @@
 
 use super::Shared;
 use super::agents::Connection;
+use crate::controllers::membership::Event;
 
 /// One process of an agent, and the connection to it.
 pub(super) struct Target {
@@ -41,7 +42,8 @@
         let address = snapshot
             .and_then(|snapshot| snapshot.document.upstreams.get(upstream).map(|found| found.agent))
             .ok_or_else(|| tonic::Status::not_found("the upstream is not configured"))?;
-        let connection = shared.agents.connect(address).await?;
+        shared.learn(upstream, Event::Tried);
+        let connection = connect(shared, upstream, address).await?;
         let process = connection.process.clone();
         Ok(Target { upstream: upstream.clone(), address, process, connection })
     }
@@ -60,7 +62,7 @@
     /// Replaces the connection. The address stays, whatever the configuration says by now.
     pub(super) async fn reconnect(&mut self, shared: &Shared) -> Result<(), tonic::Status> {
         shared.agents.replace(self.address, &self.connection);
-        self.connection = shared.agents.connect(self.address).await?;
+        self.connection = connect(shared, &self.upstream, self.address).await?;
         Ok(())
     }
 
@@ -70,6 +72,7 @@
         shared.update_heard(&self.upstream, |heard| {
             heard.load = load;
             heard.at = now;
+            heard.member.on_event(Event::Said { leaving: load.leaving }, now);
         });
     }
 
@@ -78,3 +81,15 @@
         Outstanding { shared: shared.clone(), upstream: self.upstream.clone() }
     }
 }
+
+async fn connect(
+    shared: &Shared,
+    upstream: &UpstreamId,
+    address: SocketAddr,
+) -> Result<Connection, tonic::Status> {
+    let connected = shared.agents.connect(address).await;
+    if connected.is_err() {
+        shared.learn(upstream, Event::NotReached);
+    }
+    connected
+}
--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -205,3 +205,14 @@
     assert!(is_whole(&text, TOKENS), "{text}");
     assert_eq!(engine.engine.starts().values().copied().collect::<Vec<_>>(), [1]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_nobody_speaks_on_does_not_hold_up_a_planned_stop() {
+    const STOP_LIMIT: Duration = Duration::from_secs(20);
+    let engine = engine(100);
+    let agent = agent("a", engine.server.address(), 4).await;
+    let silent = tokio::net::TcpStream::connect(agent.address()).await.unwrap();
+    let stopped = tokio::time::timeout(STOP_LIMIT, agent.stop()).await;
+    drop(silent);
+    assert!(stopped.is_ok(), "the agent waits for a connection that never spoke");
+}
