Give the engines of entry_killed room for all streams

Cause: 6 streams drew their places over 3 engines of 3 slots; where 4 fell on one engine, the fourth waited for another to finish, so that the entry was killed after an answer was whole (seen 2 times in 4 runs of the whole set; the precondition failed, not the promise). Ruled out: longer answers, since the fourth would wait longer too. Change: 6 slots each. All checks stay: broken first, whole second, one start for each id.

--- a/tests/scenarios/entry_killed.rhai
+++ b/tests/scenarios/entry_killed.rhai
@@ -1,5 +1,6 @@
-// The entry dies mid-stream; asked again elsewhere with their ids, the answers are resumed.
-fleet(#{ engines: #{ one: #{ slots: 3 }, two: #{ slots: 3 }, three: #{ slots: 3, zone: "riga-b" } } });
+// The entry dies mid-stream; asked again elsewhere with their ids, the answers are resumed. Each engine
+// has room for all, so that all streams run when the entry dies.
+fleet(#{ engines: #{ one: #{ slots: 6 }, two: #{ slots: 6 }, three: #{ slots: 6, zone: "riga-b" } } });
 let asked = [];
 for n in 0..6 { asked.push(#{ id: `twice-${n}`, text: `who plays the tilt ${n}`, tokens: 200 }); }
 let streams = asked.map(|request| ask("entry-1", request));
