--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -2,9 +2,11 @@
 
 mod held;
 mod in_flight;
+mod message;
 mod overdue;
 mod preempt;
 mod record;
+mod rules;
 mod transcript;
 
 use std::collections::HashMap;
@@ -19,7 +21,9 @@
 use held::HeldAnswers;
 pub use held::HeldLimits;
 use in_flight::InFlight;
+pub use message::{Action, Admission, Settlement, UpstreamEvent};
 use record::{Record, State};
+pub use rules::AgentRules;
 pub use transcript::{Cursor, ReadStep};
 
 /// How long the answer of a finished request is held for a caller who asks again.
@@ -38,90 +42,6 @@
 /// When a caller may come back after a refusal of work that had no time left here.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What the upstream said of a request.
-#[derive(Debug, Clone, PartialEq)]
-pub enum UpstreamEvent {
-    /// It has begun to answer.
-    Started {
-        /// HTTP status.
-        status: u16,
-        /// Content type.
-        content_type: String,
-    },
-    /// A piece of the answer.
-    Data(bytes::Bytes),
-    /// The answer is whole.
-    Finished,
-    /// It could not be reached; nothing was handed over.
-    NotReached(String),
-    /// It broke off.
-    Failed(String),
-}
-
-/// What the shell has to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Hand the request to the upstream.
-    Start(Box<Dispatch>),
-    /// Tell the upstream to stop working on the request.
-    Abort(RequestKey),
-    /// Wake the readers of the request.
-    Wake(RequestKey),
-}
-
-/// What came of a request that an entry process handed over.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Admission {
-    /// It waits or runs; read its transcript.
-    Held,
-    /// It is refused; nothing ran.
-    Refused(Refusal),
-}
-
-/// What is known of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Settlement {
-    /// Never seen; refused from now on.
-    Withdrawn,
-    /// Waits here.
-    Queued,
-    /// The upstream works on it.
-    Running,
-    /// Its answer is held.
-    Finished,
-    /// It was refused before it was handed to the upstream.
-    NotRun,
-}
-
-/// Which rules of the agent are on; all are, but where the cost of one is measured.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AgentRules {
-    /// What runs of lower tiers gives way to the highest.
-    pub preempt: bool,
-    /// A long prompt waits while one of its own or a higher tier is in prefill.
-    pub single_prefill: bool,
-    /// The limit in flight follows the time between tokens.
-    pub adapt_limit: bool,
-    /// Work that can no longer finish in time is answered at once.
-    pub drop_hopeless: bool,
-}
-
-impl Default for AgentRules {
-    fn default() -> Self {
-        AgentRules { preempt: true, single_prefill: true, adapt_limit: true, drop_hopeless: true }
-    }
-}
-
-impl AgentRules {
-    /// Every rule off: a plain queue before a fixed number of slots.
-    pub const OFF: AgentRules = AgentRules {
-        preempt: false,
-        single_prefill: false,
-        adapt_limit: false,
-        drop_hopeless: false,
-    };
-}
-
 /// The state of one agent.
 #[derive(Debug)]
 pub struct Core {
--- a/components/entry/src/controllers/claims/mod.rs
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -5,6 +5,7 @@
 //! later one can be told from an earlier one. The ways that were weighed: `docs/design/claims.md`.
 
 mod claiming;
+mod message;
 mod settle;
 mod sweep;
 
@@ -17,7 +18,8 @@
 use sha2::{Digest, Sha256};
 use wire::{RequestKey, ServiceCall};
 
-pub use claiming::{AgentWord, Claiming, Event, Next, Start};
+pub use claiming::Claiming;
+pub use message::{AgentWord, Event, Next, Start};
 pub use settle::{Settlement, Unsettled, list_unsettled, read_claim, settle_claim};
 pub use sweep::{KEEP_RAN, is_expired, sweep_shard};
 
--- a/components/measure/src/events.rs
+++ b/components/measure/src/events.rs
@@ -7,6 +7,9 @@
 
 const PIECE_BYTES: usize = 120;
 
+/// The id of a process is as long as this.
+const PROCESS: &str = "0123456789abcdef0123456789abcdef";
+
 pub(crate) fn measure() -> Result<()> {
     let key = v1::RequestKey {
         customer: "customer-12345".to_owned(),
@@ -35,10 +38,41 @@
     let without_load = v1::DispatchEvent { load: None, ..event.clone() };
     let report = v1::ReportReply {
         upstream: "engine-123".to_owned(),
-        process: "0123456789abcdef0123456789abcdef".to_owned(),
+        process: PROCESS.to_owned(),
         configuration_version: 100_000,
         load: Some(load),
     };
+    let placed = v1::HeldEntry {
+        key: Some(key.clone()),
+        upstream: "engine-123".to_owned(),
+        dispatch_epoch: 1_764_800_000_000,
+        upstream_process: PROCESS.to_owned(),
+    };
+    let register = v1::RegisterRequest {
+        key: Some(key),
+        upstream: "engine-123".to_owned(),
+        upstream_process: PROCESS.to_owned(),
+        superseded: None,
+        configuration_version: 100_000,
+        homes_digest: u64::MAX,
+    };
+    let registered = v1::RegisterReply {
+        state: v1::RegisterState::Recorded.into(),
+        placed: Some(placed.clone()),
+        process: PROCESS.to_owned(),
+    };
+    let copy = v1::FillIndexRequest {
+        process: PROCESS.to_owned(),
+        held: vec![placed],
+        copies: true,
+        ..v1::FillIndexRequest::default()
+    };
+    println!(
+        "registration of an id, and reply   {} + {} bytes",
+        register.encoded_len(),
+        registered.encoded_len()
+    );
+    println!("copy of a placement                {} bytes", copy.encoded_len());
     println!("piece of an answer                 {PIECE_BYTES} bytes");
     println!("event with load digest             {} bytes", event.encoded_len());
     println!("event without load digest          {} bytes", without_load.encoded_len());
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -67,30 +67,36 @@
     let fast = serve(Arc::new(engine(20_000, 80, clock.clone())))?;
     let slow = serve(Arc::new(engine(4_000, 25, clock.clone())))?;
     let desk = serve(Arc::new(Service::new(Duration::from_millis(20))))?;
-    let agents = [
-        spawn_agent("fast", UpstreamSettings::HttpEngine { address: fast.address() }).await?,
-        spawn_agent("slow", UpstreamSettings::HttpEngine { address: slow.address() }).await?,
-        spawn_agent("desk", UpstreamSettings::HttpService { address: desk.address() }).await?,
-    ];
     let settings = entry::Settings {
         listen: (LOOPBACK, port).into(),
         operators_listen: (LOOPBACK, 0).into(),
         host: HostId::new("entry-1"),
         zone: ZoneId::new(ZONE),
         platform: PlatformSettings::Http { store: store.address(), host_list: hosts.address() },
-        peers: entry::PeerSettings::default(),
+        peers: entry::PeerSettings {
+            listen: Some((LOOPBACK, 0).into()),
+            ..entry::PeerSettings::default()
+        },
         workers: 2,
         log_level: "warn".to_owned(),
     };
     let entry = Entry { settings, clock }.spawn().await?;
     let operators = entry.operators_address();
+    let peers: Vec<SocketAddr> = entry.peers_address().into_iter().collect();
+    let agents = [
+        spawn_agent("fast", &peers, UpstreamSettings::HttpEngine { address: fast.address() })
+            .await?,
+        spawn_agent("slow", &peers, UpstreamSettings::HttpEngine { address: slow.address() })
+            .await?,
+        spawn_agent("desk", &peers, UpstreamSettings::HttpService { address: desk.address() })
+            .await?,
+    ];
     put_configuration(operators, &agents).await?;
     print_commands(entry.callers_address(), operators);
     wait_for_stop().await?;
     entry.stop().await;
-    for agent in agents {
-        agent.stop().await;
-    }
+    let [fast_agent, slow_agent, desk_agent] = agents;
+    tokio::join!(fast_agent.stop(), slow_agent.stop(), desk_agent.stop());
     let stopped = tokio::task::spawn_blocking(move || {
         for server in [store, hosts, fast, slow, desk] {
             server.stop(false);
@@ -110,7 +116,11 @@
     Engine::new(speeds, clock)
 }
 
-async fn spawn_agent(name: &str, adapter: UpstreamSettings) -> Result<AgentHandle> {
+async fn spawn_agent(
+    name: &str,
+    peers: &[SocketAddr],
+    adapter: UpstreamSettings,
+) -> Result<AgentHandle> {
     let settings = agent::Settings {
         listen: (LOOPBACK, 0).into(),
         host: HostId::new(name),
@@ -118,7 +128,7 @@
         upstream: UpstreamId::new(name),
         adapter,
         slots: 8,
-        peers: Vec::new(),
+        peers: peers.to_vec(),
         log_level: "warn".to_owned(),
     };
     Agent { settings, clock: Arc::new(SystemClock) }.spawn().await
@@ -182,5 +192,6 @@
         "curl http://{callers}/services/desk/pitches/A-17 -H 'Authorization: Bearer {SELLER_KEY}'"
     );
     println!("curl http://{operators}/upstreams");
+    println!("cargo run --bin dragonflyctl -- --operators {operators} config get");
     println!("ready");
 }
