--- a/components/measure/src/path.rs
+++ b/components/measure/src/path.rs
@@ -10,6 +10,8 @@
 use scenario::{EnginePlan, Fleet, ModelRequest, Plan, Programs};
 use web::{Client, Request};
 
+use crate::process::resident_bytes_of;
+
 /// Calls before anything is counted.
 const WARM_UP_CALLS: u32 = 50;
 
@@ -66,11 +68,12 @@
     runtime.block_on(run_concurrently(&client, &through, calls))?;
     let took = start.elapsed().as_secs_f64();
     let used = (processor_s(entry)? - before.0, processor_s(agent)? - before.1);
-    for (name, used_s) in [("entry", used.0), ("agent", used.1)] {
+    for (name, process, used_s) in [("entry", entry, used.0), ("agent", agent, used.1)] {
         println!(
-            "{name}: {:.0} us of processor time a request of {tokens} tokens, {:.0} requests a second on one core",
+            "{name}: {:.0} us of processor time a request of {tokens} tokens, {:.0} requests a second on one core, {} bytes resident",
             used_s * 1e6 / f64::from(calls),
-            f64::from(calls) / used_s
+            f64::from(calls) / used_s,
+            resident_bytes_of(process)?
         );
     }
     println!("{calls} calls, {CONCURRENT_CALLS} at once, {:.0} a second", f64::from(calls) / took);
