Draw the cases of checks from fixed seeds

Ruled out: BOLERO_RANDOM_SEED in the environment, which adds one seed to the random ones. Change: components/cases runs bolero's generators with seeds 0 to N; numbers of cases stay (150, 3,000, 20,000, 50,000), and are 5,000 where a second was the limit. All assertions stay. Still red where it should be: preemption off fails at CASE_SEED=3, an agent's word ignored at CASE_SEED=0, the epoch of an event ignored in entry/tests/interleavings.

--- a/components/agent/tests/tiers.rs
+++ b/components/agent/tests/tiers.rs
@@ -10,6 +10,9 @@
 use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, ServiceId, Tier};
 use wire::{AnswerEvent, Dispatch, ModelCall, RequestKey, ServiceCall, Work};
 
+/// Cases drawn.
+const CASES: u64 = 5_000;
+
 fn key(id: usize) -> RequestKey {
     RequestKey { customer: CustomerId::new("c"), request_id: RequestId::new(id.to_string()) }
 }
@@ -174,7 +177,7 @@
 
 #[test]
 fn the_highest_tier_never_waits_or_is_refused_while_a_lower_one_runs() {
-    bolero::check!().with_type::<(u8, Vec<(u8, u8)>)>().for_each(|(limit, steps)| {
+    cases::check(CASES, |(limit, steps): &(u8, Vec<(u8, u8)>)| {
         let mut check = Check::new(1 + u32::from(limit % 4));
         for (kind, value) in steps {
             check.step(*kind, *value);
--- a/components/configuration/tests/sync.rs
+++ b/components/configuration/tests/sync.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bolero::produce;
 use clock::{Clock, ManualClock};
 use configuration::sync::{Event, Next, PEER_TIMEOUT, Place, STORE_TIMEOUT, Source, Sync};
 use configuration::{Document, InForce, Snapshot};
@@ -15,6 +16,12 @@
 /// Resolution of the simulated time.
 const STEP: Duration = Duration::from_millis(25);
 
+/// Cases drawn.
+const CASES: u64 = 150;
+
+/// Most choices of a case.
+const CHOICES: usize = 4_096;
+
 const LISTED: usize = 2;
 const RELAYS: usize = 4;
 const NODES: usize = 40;
@@ -187,7 +194,8 @@
 
 #[test]
 fn every_process_has_a_version_in_time_and_none_goes_back() {
-    bolero::check!().with_iterations(150).for_each(|bytes: &[u8]| {
+    let choices = produce::<Vec<u8>>().with().len(0..CHOICES);
+    cases::check_with(CASES, &choices, |bytes: &Vec<u8>| {
         let mut fleet = Fleet::new(bytes);
         for version in 1..=4 {
             let version = ConfigVersion(version);
--- a/components/entry/tests/claims.rs
+++ b/components/entry/tests/claims.rs
@@ -520,7 +520,7 @@
 
 #[test]
 fn drawn_interleavings_hold_too() {
-    bolero::check!().with_iterations(RUNS).with_type::<u64>().for_each(|seed| {
+    cases::check(RUNS as u64, |seed: &u64| {
         run(*seed, Without::Nothing).unwrap();
     });
 }
--- a/components/entry/tests/fencing.rs
+++ b/components/entry/tests/fencing.rs
@@ -262,7 +262,7 @@
 
 #[test]
 fn drawn_interleavings_hold_too() {
-    bolero::check!().with_iterations(RUNS).with_type::<u64>().for_each(|seed| {
+    cases::check(RUNS as u64, |seed: &u64| {
         run(*seed, Without::Nothing).unwrap();
     });
 }
--- a/components/entry/tests/interleavings.rs
+++ b/components/entry/tests/interleavings.rs
@@ -11,7 +11,7 @@
 use identity::{ConfigVersion, CustomerId, DispatchEpoch, ModelId, RequestId, Tier};
 use wire::{AnswerEvent, Envelope, LoadDigest, ModelCall, RequestKey, Work};
 
-const ITERATIONS: usize = 20_000;
+const ITERATIONS: u64 = 20_000;
 const AGENTS: usize = 3;
 const PIECES: u64 = 4;
 
@@ -305,7 +305,7 @@
 
 #[test]
 fn a_request_runs_at_most_once_and_its_answer_is_whole_and_its_own() {
-    bolero::check!().with_iterations(ITERATIONS).with_type::<Vec<u8>>().for_each(|ops| {
+    cases::check(ITERATIONS, |ops: &Vec<u8>| {
         let mut world = World::new();
         ops.iter().for_each(|op| world.step(*op));
         world.check();
--- a/components/entry/tests/membership.rs
+++ b/components/entry/tests/membership.rs
@@ -17,6 +17,9 @@
 /// The users' few seconds until a leaving host gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(5);
 
+/// Cases drawn.
+const CASES: u64 = 5_000;
+
 /// Longest time that an agent which is back waits for a first request.
 const BACK_LIMIT: Duration = Duration::from_secs(8);
 
@@ -114,7 +117,7 @@
 
 #[test]
 fn in_every_order_of_events_leaving_closes_and_silence_never_closes_for_good() {
-    bolero::check!().with_type::<Vec<Step>>().for_each(|steps| {
+    cases::check(CASES, |steps: &Vec<Step>| {
         let clock = ManualClock::new();
         let mut member = Member::default();
         let mut listed_leaving = false;
--- a/components/registry/tests/interleavings.rs
+++ b/components/registry/tests/interleavings.rs
@@ -10,7 +10,7 @@
 use registry::{Fence, HomeSet, Homes, Index, Placed, Registered, Standing, Wish};
 use wire::{Registration, RequestKey};
 
-const ITERATIONS: usize = 50_000;
+const ITERATIONS: u64 = 50_000;
 const OPS: usize = 160;
 const AGENTS: usize = 5;
 /// Epochs between one process of a home and the next.
@@ -215,7 +215,7 @@
 #[test]
 fn a_request_is_handed_over_once_though_two_agents_are_lost() {
     let ops = produce::<Vec<u8>>().with().len(0..OPS);
-    bolero::check!().with_iterations(ITERATIONS).with_generator(ops).for_each(|ops: &Vec<u8>| {
+    cases::check_with(ITERATIONS, &ops, |ops: &Vec<u8>| {
         let mut world = World::new();
         for op in ops {
             world.step(*op);
