--- a/components/entry/src/filters/mod.rs
+++ b/components/entry/src/filters/mod.rs
@@ -42,7 +42,7 @@
     /// The configuration in force.
     pub configuration: Arc<Snapshot>,
     /// What was heard of agents.
-    pub heard: BTreeMap<UpstreamId, Heard>,
+    pub heard: Arc<BTreeMap<UpstreamId, Heard>>,
     /// The availability zone of this process.
     pub zone: ZoneId,
     /// This process takes no new work.
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -17,11 +17,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use arc_swap::ArcSwap;
 use clock::Clock;
 use configuration::InForce;
 use identity::{ProcessId, UpstreamId};
@@ -78,7 +79,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) draining: AtomicBool,
     pub(crate) in_flight: AtomicU32,
-    heard: Mutex<BTreeMap<UpstreamId, Heard>>,
+    heard: ArcSwap<BTreeMap<UpstreamId, Heard>>,
 }
 
 impl Entry {
@@ -114,7 +115,7 @@
             metrics: Metrics::new()?,
             draining: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
-            heard: Mutex::default(),
+            heard: ArcSwap::default(),
             settings: self.settings,
         });
         let runtime = tokio::runtime::Handle::current();
@@ -182,27 +183,39 @@
     pub(crate) fn view(&self) -> Option<View> {
         Some(View {
             configuration: self.in_force.load()?,
-            heard: self.heard().clone(),
+            heard: self.heard(),
             zone: self.settings.zone.clone(),
             draining: self.draining.load(Ordering::SeqCst),
         })
     }
 
-    pub(crate) fn heard(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Heard>> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    /// What was heard of agents, as last published.
+    pub(crate) fn heard(&self) -> Arc<BTreeMap<UpstreamId, Heard>> {
+        self.heard.load_full()
     }
 
-    /// Changes what is held of an upstream.
-    pub(crate) fn update_heard(&self, upstream: &UpstreamId, change: impl FnOnce(&mut Heard)) {
+    /// Publishes what is held anew, with one upstream changed; done again where another change came
+    /// in between, and not at all where nothing changes.
+    pub(crate) fn update_heard(&self, upstream: &UpstreamId, change: impl Fn(&mut Heard)) {
         let now = self.clock.now();
-        let mut heard = self.heard();
-        let entry = heard.entry(upstream.clone()).or_insert_with(|| Heard {
-            load: wire::LoadDigest::default(),
-            at: now,
-            own_outstanding: 0,
-            member: Member::default(),
+        if let Some(current) = self.heard.load().get(upstream) {
+            let mut changed = *current;
+            change(&mut changed);
+            if changed == *current {
+                return;
+            }
+        }
+        self.heard.rcu(|held| {
+            let mut heard = BTreeMap::clone(held);
+            let entry = heard.entry(upstream.clone()).or_insert_with(|| Heard {
+                load: wire::LoadDigest::default(),
+                at: now,
+                own_outstanding: 0,
+                member: Member::default(),
+            });
+            change(entry);
+            heard
         });
-        change(entry);
     }
 
     /// Takes what was learnt of an upstream.
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -229,7 +229,7 @@
 
 fn upstreams(shared: &Shared) -> Vec<UpstreamRow> {
     let Some(snapshot) = shared.in_force.load() else { return Vec::new() };
-    let heard = shared.heard().clone();
+    let heard = shared.heard();
     let now = shared.clock.now();
     let rows = snapshot.document.upstreams.iter().map(|(name, upstream)| {
         let seen = heard.get(name);
--- a/components/entry/tests/membership.rs
+++ b/components/entry/tests/membership.rs
@@ -45,7 +45,7 @@
         .collect();
     View {
         configuration: Arc::new(Snapshot::new(ConfigVersion(1), document)),
-        heard,
+        heard: Arc::new(heard),
         zone: ZoneId::new("z"),
         draining: false,
     }
