Count milliseconds since 1970 in one place, and take the agent's locks by one function

Cause: five places turned the time of day into milliseconds, two of them as functions of the same name, and the agent's index had a lock function beside the generic one of its shell. Change: clock::unix_ms serves all five; the index calls the shell's lock; Core::is_idle, which only is_done calls, is private.

--- a/components/agent/src/core/mod.rs
+++ b/components/agent/src/core/mod.rs
@@ -279,7 +279,7 @@
     }
 
     /// Whether nothing waits or runs.
-    pub fn is_idle(&self) -> bool {
+    fn is_idle(&self) -> bool {
         self.in_flight.len() == 0 && self.queue.is_empty()
     }
 
--- a/components/agent/src/shell/index.rs
+++ b/components/agent/src/shell/index.rs
@@ -1,17 +1,16 @@
 //! The agent's part of the index of requests that callers may ask for again.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::SystemTime;
+use std::sync::Arc;
 
-use clock::Clock;
+use clock::{Clock, unix_ms};
 use identity::{ConfigVersion, DispatchEpoch, ProcessId, UpstreamId};
 use registry::{Fence, HomeSet, Homes, Index, Placed, Registered, Wish, from_entry, to_entry};
 use tonic::{Request, Response, Status};
 use wire::v1;
 use wire::v1::index_server::Index as IndexRpc;
 
-use super::Shared;
 use super::server::{invalid, required_key};
+use super::{Shared, lock};
 
 /// Index and fence; one lock, so that a listing and a hand-over cannot miss each other.
 #[derive(Debug)]
@@ -22,16 +21,11 @@
 
 impl Registry {
     pub(crate) fn new(clock: &dyn Clock) -> Registry {
-        let since_1970 = clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let first_epoch = DispatchEpoch(since_1970.as_millis() as u64);
+        let first_epoch = DispatchEpoch(unix_ms(clock.wall()));
         Registry { index: Index::new(first_epoch), fence: Fence::default() }
     }
 }
 
-pub(crate) fn lock(registry: &Mutex<Registry>) -> MutexGuard<'_, Registry> {
-    registry.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 pub(super) struct Rpc {
     pub(super) shared: Arc<Shared>,
 }
--- a/components/agent/src/shell/mod.rs
+++ b/components/agent/src/shell/mod.rs
@@ -255,6 +255,6 @@
         let actions = shared.core().on_tick(shared.clock.now());
         shared.perform(actions);
         shared.forget_idle_wakers();
-        index::lock(&shared.registry).index.on_tick(shared.clock.now());
+        lock(&shared.registry).index.on_tick(shared.clock.now());
     }
 }
--- a/components/agent/src/shell/server.rs
+++ b/components/agent/src/shell/server.rs
@@ -15,7 +15,7 @@
 use wire::v1::index_server::IndexServer;
 use wire::{AnswerEvent, Claim, Dispatch, Envelope, LoadDigest, Order, RequestKey, v1};
 
-use super::{Shared, index, orders};
+use super::{Shared, index, lock, orders};
 use crate::controllers::once::{Admit, Settled};
 use crate::core::{Action, Admission, Cursor, ReadStep, Settlement};
 
@@ -178,7 +178,7 @@
 impl Rpc {
     /// Admits a request unless the index that allowed it has been replaced.
     fn admit(&self, dispatch: Dispatch) -> (Admission, Vec<Action>) {
-        let registry = index::lock(&self.shared.registry);
+        let registry = lock(&self.shared.registry);
         if let Some(by) = &dispatch.registration
             && registry.fence.judge(&dispatch.key, by) == Standing::Outdated
         {
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -12,6 +12,11 @@
     fn wall(&self) -> SystemTime;
 }
 
+/// Milliseconds since 1970; 0 before.
+pub fn unix_ms(wall: SystemTime) -> u64 {
+    wall.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
 /// The operating system's clock.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SystemClock;
--- a/components/configuration/src/repository/audit.rs
+++ b/components/configuration/src/repository/audit.rs
@@ -2,6 +2,7 @@
 
 use std::time::SystemTime;
 
+use clock::unix_ms;
 use identity::ConfigVersion;
 use platform::{KeyValueStore, Revision, StoreError, SwapResult, Versioned};
 use serde::de::DeserializeOwned;
@@ -80,7 +81,6 @@
 impl AuditRecord {
     /// The record of a submission and its outcome.
     pub fn new(submission: &Submission, outcome: AuditOutcome, wall: SystemTime) -> AuditRecord {
-        let elapsed = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let outcome = match outcome {
             AuditOutcome::Refused { code, message } => {
                 AuditOutcome::Refused { code, message: quote(message, MESSAGE_QUOTE_BYTES) }
@@ -88,7 +88,7 @@
             accepted => accepted,
         };
         AuditRecord {
-            at_ms: elapsed.as_millis() as u64,
+            at_ms: unix_ms(wall),
             author: quote(submission.author.clone(), MESSAGE_QUOTE_BYTES),
             patch_id: quote(submission.patch_id.clone(), MESSAGE_QUOTE_BYTES),
             against_version: submission.against_version,
--- a/components/configuration/src/repository/submit.rs
+++ b/components/configuration/src/repository/submit.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+use clock::unix_ms;
 use errors::{Outcome, Refusal, ResultCode};
 use identity::ConfigVersion;
 use log::warn;
@@ -162,7 +163,7 @@
         key
     };
     let manifest = place_parts(parts, &base.manifest, &mut add);
-    let accepted_at_ms = milliseconds(wall);
+    let accepted_at_ms = unix_ms(wall);
     let (mut log, dropped) = shorten(base.log.clone());
     let delta = Delta {
         version,
@@ -341,7 +342,3 @@
 fn unavailable(error: ReadError) -> Refusal {
     Refusal::not_run(ResultCode::StoreUnavailable).with_message(error.to_string())
 }
-
-fn milliseconds(wall: SystemTime) -> u64 {
-    wall.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
--- a/components/entry/src/controllers/claims/mod.rs
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -9,8 +9,6 @@
 mod settle;
 mod sweep;
 
-use std::time::SystemTime;
-
 use errors::Outcome;
 use identity::{CustomerId, DispatchEpoch, ProcessId, RequestId, UpstreamId};
 use platform::{Revision, StoreError};
@@ -194,8 +192,3 @@
     hash.update(&call.body);
     hex::encode(hash.finalize())
 }
-
-/// Milliseconds since 1970.
-pub(crate) fn milliseconds(wall: SystemTime) -> u64 {
-    wall.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
--- a/components/entry/src/controllers/claims/settle.rs
+++ b/components/entry/src/controllers/claims/settle.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, SystemTime};
 
+use clock::unix_ms;
 use errors::{Outcome, Refusal, ResultCode};
 use identity::CustomerId;
 use platform::{KeyValueStore, Revision, StoreError, SwapResult};
 use serde::{Deserialize, Serialize};
 
-use super::{Claim, SettledBy, State, Writer, milliseconds, shard_prefix, store_key};
+use super::{Claim, SettledBy, State, Writer, shard_prefix, store_key};
 
 /// How long a claim stands open before it is listed.
 const LISTED_AFTER: Duration = Duration::from_secs(60);
@@ -46,7 +47,7 @@
     store: &dyn KeyValueStore,
     wall: SystemTime,
 ) -> Result<Vec<Unsettled>, StoreError> {
-    let now_ms = milliseconds(wall);
+    let now_ms = unix_ms(wall);
     let mut rows = Vec::new();
     for shard in 0..=u8::MAX {
         for found in store.list(&shard_prefix(shard)).await? {
@@ -83,7 +84,7 @@
         settled_by: Some(SettledBy {
             author: settlement.author.clone(),
             reason: settlement.reason.clone(),
-            at_ms: milliseconds(wall),
+            at_ms: unix_ms(wall),
         }),
         ..claim.moved_to(state, writer)
     };
--- a/components/entry/src/controllers/claims/sweep.rs
+++ b/components/entry/src/controllers/claims/sweep.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, SystemTime};
 
+use clock::unix_ms;
 use platform::{KeyValueStore, StoreError};
 
-use super::{Claim, State, milliseconds, shard_prefix};
+use super::{Claim, State, shard_prefix};
 
 /// How long a key is known to have run, and its answer kept.
 pub const KEEP_RAN: Duration = Duration::from_secs(30 * 24 * 3600);
@@ -31,7 +32,7 @@
     shard: u8,
     wall: SystemTime,
 ) -> Result<usize, StoreError> {
-    let now_ms = milliseconds(wall);
+    let now_ms = unix_ms(wall);
     let mut removed = 0;
     for found in store.list(&shard_prefix(shard)).await? {
         if removed == REMOVE_LIMIT {
--- a/components/entry/src/shell/claims.rs
+++ b/components/entry/src/shell/claims.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use clock::unix_ms;
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{ProcessId, UpstreamId};
 use log::{info, warn};
@@ -15,7 +16,7 @@
 use super::target::Target;
 use crate::controllers::claims::{
     ANSWER_LIMIT_BYTES, AgentWord, CLAIMED_EPOCH, Claim, Claiming, Event, KeptAnswer, Next, Start,
-    State, Writer, call_digest, milliseconds, read_claim, store_key, sweep_shard,
+    State, Writer, call_digest, read_claim, store_key, sweep_shard,
 };
 
 /// How long an agent may take to answer a question.
@@ -85,7 +86,7 @@
             upstream: upstream.clone(),
             agent_process,
             nonce: rand::random(),
-            wall_ms: milliseconds(self.shared.clock.wall()),
+            wall_ms: unix_ms(self.shared.clock.wall()),
         };
         self.drive(event).await
     }
--- a/components/entry/src/shell/decisions.rs
+++ b/components/entry/src/shell/decisions.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::SystemTime;
 
+use clock::unix_ms;
 use configuration::{Upstream, UpstreamKind};
 use identity::{ConfigVersion, UpstreamId};
 use serde::Serialize;
@@ -55,11 +56,10 @@
     /// Keeps what a request's filters decided.
     pub(crate) fn record(&self, key: Option<&RequestKey>, exchange: &Exchange<'_>, at: SystemTime) {
         let Some(key) = key else { return };
-        let elapsed = at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let decision = Decision {
             request_id: key.request_id.to_string(),
             customer: key.customer.to_string(),
-            at_ms: elapsed.as_millis() as u64,
+            at_ms: unix_ms(at),
             version: exchange.view.configuration.version,
             tier: exchange.job.as_ref().map(|job| job.tier.0),
             chosen: exchange.upstream.as_ref().map(UpstreamId::to_string),
