--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -4,12 +4,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Source of time for every decision.
 pub trait Clock: Send + Sync {
     /// Monotonic time; for durations and deadlines.
     fn now(&self) -> Instant;
     /// Time of day; for records that people read.
     fn wall(&self) -> SystemTime;
+    /// Time since the machine started, time that it was suspended included; for how old a fact is.
+    fn uptime(&self) -> Duration;
 }
 
 /// Milliseconds since 1970; 0 before.
@@ -29,6 +33,11 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn uptime(&self) -> Duration {
+        let since_boot = clock_gettime(ClockId::Boottime);
+        Duration::try_from(since_boot).unwrap_or_default()
+    }
 }
 
 /// A clock that moves only when told to.
@@ -69,4 +78,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
+
+    fn uptime(&self) -> Duration {
+        self.elapsed()
+    }
 }
--- a/components/configuration/src/repository/audit.rs
+++ b/components/configuration/src/repository/audit.rs
@@ -4,7 +4,7 @@
 
 use clock::unix_ms;
 use identity::ConfigVersion;
-use platform::{KeyValueStore, Revision, StoreError, SwapResult, Versioned};
+use store::{KeyValueStore, Revision, StoreError, SwapResult, Versioned};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
--- a/components/configuration/src/repository/collect.rs
+++ b/components/configuration/src/repository/collect.rs
@@ -8,7 +8,7 @@
 
 use identity::ConfigVersion;
 use log::warn;
-use platform::{KeyValueStore, StoreError};
+use store::{KeyValueStore, StoreError};
 
 use super::read::{ReadError, read_record};
 use crate::layout::{Delta, Index, Log, Manifest, ObjectKey, VERSIONS_KEPT};
--- a/components/configuration/src/repository/read.rs
+++ b/components/configuration/src/repository/read.rs
@@ -6,7 +6,7 @@
 
 use identity::ConfigVersion;
 use log::warn;
-use platform::{KeyValueStore, Revision, StoreError};
+use store::{KeyValueStore, Revision, StoreError};
 use serde::de::DeserializeOwned;
 use sha2::{Digest, Sha256};
 
--- a/components/configuration/src/repository/submit.rs
+++ b/components/configuration/src/repository/submit.rs
@@ -7,7 +7,7 @@
 use errors::{Outcome, Refusal, ResultCode};
 use identity::ConfigVersion;
 use log::warn;
-use platform::{KeyValueStore, Revision, StoreError, SwapResult};
+use store::{KeyValueStore, Revision, StoreError, SwapResult};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
--- a/components/configuration/tests/layout.rs
+++ b/components/configuration/tests/layout.rs
@@ -9,7 +9,7 @@
 use configuration::repository::{check_patch, read_index, read_log, read_newer};
 use errors::ResultCode;
 use identity::{ConfigVersion, CustomerId};
-use platform::{KeyValueStore, Revision};
+use store::{KeyValueStore, Revision};
 use serde_json::json;
 use standin::memory_store::MemoryStore;
 use support::{document_of, rate_of, run, submit};
--- a/components/entry/examples/claim_cost.rs
+++ b/components/entry/examples/claim_cost.rs
@@ -12,7 +12,7 @@
 use clock::{Clock, SystemClock};
 use entry::{Entry, PlatformSettings};
 use identity::{HostId, UpstreamId, ZoneId};
-use platform::{HttpStore, KeyValueStore, Revision, SwapResult};
+use store::{HttpStore, KeyValueStore, Revision, SwapResult};
 use serde_json::json;
 use standin::hosts::Hosts;
 use standin::service::Service;
--- a/components/entry/src/controllers/claims/claiming.rs
+++ b/components/entry/src/controllers/claims/claiming.rs
@@ -5,7 +5,7 @@
 
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{DispatchEpoch, ProcessId, UpstreamId};
-use platform::{Revision, StoreError, SwapResult};
+use store::{Revision, StoreError, SwapResult};
 
 use super::{AgentWord, Claim, Event, Next, Start, State, Writer};
 
--- a/components/entry/src/controllers/claims/message.rs
+++ b/components/entry/src/controllers/claims/message.rs
@@ -4,7 +4,7 @@
 
 use errors::Refusal;
 use identity::{CustomerId, ProcessId, UpstreamId};
-use platform::{Revision, StoreError, SwapResult};
+use store::{Revision, StoreError, SwapResult};
 
 use super::{Claim, KeptAnswer};
 
--- a/components/entry/src/controllers/claims/mod.rs
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -11,7 +11,7 @@
 
 use errors::Outcome;
 use identity::{CustomerId, DispatchEpoch, ProcessId, RequestId, UpstreamId};
-use platform::{Revision, StoreError};
+use store::{Revision, StoreError};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use wire::{RequestKey, ServiceCall};
--- a/components/entry/src/controllers/claims/settle.rs
+++ b/components/entry/src/controllers/claims/settle.rs
@@ -5,7 +5,7 @@
 use clock::unix_ms;
 use errors::{Outcome, Refusal, ResultCode};
 use identity::CustomerId;
-use platform::{KeyValueStore, Revision, StoreError, SwapResult};
+use store::{KeyValueStore, Revision, StoreError, SwapResult};
 use serde::{Deserialize, Serialize};
 
 use super::{Claim, SettledBy, State, Writer, shard_prefix, store_key};
--- a/components/entry/src/controllers/claims/sweep.rs
+++ b/components/entry/src/controllers/claims/sweep.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use clock::unix_ms;
-use platform::{KeyValueStore, StoreError};
+use store::{KeyValueStore, StoreError};
 
 use super::{Claim, State, shard_prefix};
 
--- a/components/entry/src/controllers/configuration/mod.rs
+++ b/components/entry/src/controllers/configuration/mod.rs
@@ -10,7 +10,7 @@
 };
 use errors::Refusal;
 use log::warn;
-use platform::KeyValueStore;
+use store::KeyValueStore;
 
 pub use pending::PendingAudit;
 
--- a/components/entry/src/controllers/leases/mod.rs
+++ b/components/entry/src/controllers/leases/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use identity::FencingToken;
-use platform::{LeaseId, Revision, StoreError, SwapResult};
+use store::{LeaseId, Revision, StoreError, SwapResult};
 
 /// Part of the lease that is not used, against clocks that run at unlike speed.
 const MARGIN_DIVISOR: u32 = 4;
--- a/components/entry/src/shell/claims.rs
+++ b/components/entry/src/shell/claims.rs
@@ -9,7 +9,7 @@
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{ProcessId, UpstreamId};
 use log::{info, warn};
-use platform::{Revision, StoreError, SwapResult};
+use store::{Revision, StoreError, SwapResult};
 use wire::{RequestKey, ServiceCall, v1};
 
 use super::Shared;
--- a/components/entry/src/shell/mod.rs
+++ b/components/entry/src/shell/mod.rs
@@ -28,7 +28,7 @@
 use identity::{ProcessId, UpstreamId};
 use log::info;
 use peers::{Peers, PeersHandle};
-use platform::{HostList, HttpHostList, HttpStore, KeyValueStore};
+use store::{HostList, HttpHostList, HttpStore, KeyValueStore};
 use tokio::task::JoinHandle;
 use web::{Client, Server, ServerHandle};
 
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -11,7 +11,7 @@
 use errors::{Refusal, ResultCode};
 use identity::ConfigVersion;
 use log::info;
-use platform::HostState;
+use store::HostState;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
--- a/components/entry/src/shell/refresh.rs
+++ b/components/entry/src/shell/refresh.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use log::warn;
-use platform::HostState;
+use store::HostState;
 
 use super::Shared;
 use crate::controllers::configuration::flush_audit;
--- a/components/entry/tests/booking.rs
+++ b/components/entry/tests/booking.rs
@@ -9,7 +9,7 @@
 use entry::controllers::claims::list_unsettled;
 use entry::{Entry, EntryHandle, PlatformSettings};
 use identity::{HostId, UpstreamId, ZoneId};
-use platform::HttpStore;
+use store::HttpStore;
 use serde_json::{Value, json};
 use standin::hosts::Hosts;
 use standin::service::Service;
--- a/components/entry/tests/claims.rs
+++ b/components/entry/tests/claims.rs
@@ -13,7 +13,7 @@
 };
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{ConfigVersion, CustomerId, ProcessId, ServiceId, Tier, UpstreamId};
-use platform::{Revision, StoreError, SwapResult};
+use store::{Revision, StoreError, SwapResult};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use wire::{Dispatch, RequestKey, ServiceCall, Work};
--- a/components/entry/tests/fencing.rs
+++ b/components/entry/tests/fencing.rs
@@ -7,7 +7,7 @@
 use clock::{Clock, ManualClock};
 use entry::controllers::leases::{Event, Lease, Next};
 use identity::{FencingToken, ProcessId};
-use platform::{LeaseId, Revision, StoreError, SwapResult};
+use store::{LeaseId, Revision, StoreError, SwapResult};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -69,6 +69,8 @@
     IdempotencyKeyRequired = 1006, 400, "idempotency_key_required", "This call is not idempotent and needs an Idempotency-Key header.";
     IdempotencyKeyReused = 1007, 409, "idempotency_key_reused", "The key was used before with another body.";
     NotFound = 1008, 404, "not_found", "There is nothing at this address.";
+    MalformedRequest = 1009, 400, "malformed_request", "The request's head or body is not well formed.";
+    HeaderTooLarge = 1010, 431, "header_too_large", "The headers are larger than the configured limit.";
     UnknownKey = 1101, 401, "unknown_key", "The bearer key is missing or belongs to no customer.";
     NotPermitted = 1102, 403, "not_permitted", "The customer may not make this call.";
     LimitReached = 2001, 429, "limit_reached", "The customer's limit is used up for now.";
--- /dev/null
+++ b/components/gateway/src/model/mod.rs
@@ -0,0 +1,13 @@
+//! What the gateway knows: configuration, upstreams, requests.
+
+mod configuration;
+mod request;
+mod upstream;
+
+pub use configuration::{
+    Allowance, AllowanceUnit, CallerLimits, Configuration, Customer, Route, RouteKind, Service,
+    Target,
+};
+pub use request::{AnswerFacts, PromptPart, RequestFacts};
+pub(crate) use upstream::Distance;
+pub use upstream::{InstanceId, Places, Upstream};
--- /dev/null
+++ b/components/gateway/src/peers/mod.rs
@@ -0,0 +1,105 @@
+//! What entries tell each other: who is a member, what each has in flight and has granted.
+
+mod digest;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+pub use digest::{Digest, DigestError};
+
+use crate::allowance::PeerId;
+
+/// Silence after which what a peer had in flight is no longer counted; several digests long.
+const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// How long a member counts after its entry in the store is gone: it may still serve callers until
+/// it notices that the store no longer confirms its configuration.
+const LEAVING_MEMORY: Duration = Duration::from_secs(6);
+
+/// Another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Names its process.
+    pub id: PeerId,
+    /// Where it takes digests.
+    pub address: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Known {
+    address: SocketAddr,
+    left_at: Option<Instant>,
+    heard_at: Option<Instant>,
+    sequence: u32,
+}
+
+/// The other entries.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: HashMap<PeerId, Known>,
+}
+
+impl Peers {
+    /// Takes in who stands in the store now, this process left out.
+    pub fn set_members(&mut self, members: &[Member], now: Instant) {
+        for (id, known) in &mut self.known {
+            let listed = members.iter().any(|member| member.id == *id);
+            known.left_at = if listed { None } else { known.left_at.or(Some(now)) };
+        }
+        for member in members {
+            let known = self.known.entry(member.id).or_insert(Known {
+                address: member.address,
+                left_at: None,
+                heard_at: None,
+                sequence: 0,
+            });
+            known.address = member.address;
+        }
+    }
+
+    /// Whether a digest is newer than the last one of its sender, and from a member.
+    pub fn accept(&mut self, from: PeerId, sequence: u32, now: Instant) -> bool {
+        match self.known.get_mut(&from) {
+            Some(known) if known.heard_at.is_none() || known.sequence < sequence => {
+                known.sequence = sequence;
+                known.heard_at = Some(now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets members that left long ago.
+    pub fn settle(&mut self, now: Instant) {
+        self.known.retain(|_, known| {
+            known.left_at.is_none_or(|at| now.saturating_duration_since(at) < LEAVING_MEMORY)
+        });
+    }
+
+    /// Whether a process still counts as a member.
+    pub fn is_member(&self, id: PeerId) -> bool {
+        self.known.contains_key(&id)
+    }
+
+    /// Whether what a peer last said of its load still counts.
+    pub fn is_heard(&self, id: PeerId, now: Instant) -> bool {
+        let heard_at = self.known.get(&id).and_then(|known| known.heard_at);
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < LOAD_MEMORY)
+    }
+
+    /// Members, this process left out.
+    pub fn ids(&self) -> impl Iterator<Item = PeerId> + '_ {
+        self.known.keys().copied()
+    }
+
+    /// Where digests go.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.known.values().filter(|known| known.left_at.is_none()).map(|known| known.address)
+    }
+
+    /// Entries, this one included.
+    pub fn entries(&self) -> usize {
+        self.known.len() + 1
+    }
+}
--- /dev/null
+++ b/components/gateway/src/roster.rs
@@ -0,0 +1,110 @@
+//! Which upstreams may be used, from what the store says and how well it can be heard.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::model::{InstanceId, Upstream};
+
+/// How long an entry that vanished around an outage of the store stays usable after the store's
+/// return. Live upstreams whose entries lapsed announce themselves again within this time.
+pub const REJOIN_GRACE: Duration = Duration::from_millis(2_000);
+
+#[derive(Debug)]
+struct Entry {
+    upstream: Upstream,
+    missing: bool,
+}
+
+/// Upstreams as announced in the store.
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: BTreeMap<InstanceId, Entry>,
+    store_away: bool,
+    rejoin_until: Option<Instant>,
+}
+
+/// What a change did to the roster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RosterChange {
+    /// Nothing that matters to placement.
+    None,
+    /// The usable upstreams changed.
+    Usable,
+}
+
+impl Roster {
+    /// Takes in an announcement.
+    pub fn announce(&mut self, upstream: Upstream) -> RosterChange {
+        let known = self.entries.get(&upstream.instance);
+        if known.is_some_and(|entry| !entry.missing && entry.upstream == upstream) {
+            return RosterChange::None;
+        }
+        let instance = upstream.instance.clone();
+        self.entries.insert(instance, Entry { upstream, missing: false });
+        RosterChange::Usable
+    }
+
+    /// Takes in that an announcement is gone.
+    pub fn withdraw(&mut self, instance: &str, now: Instant) -> RosterChange {
+        if self.store_away || self.rejoin_until.is_some_and(|until| now < until) {
+            if let Some(entry) = self.entries.get_mut(instance) {
+                entry.missing = true;
+            }
+            return RosterChange::None;
+        }
+        match self.entries.remove(instance) {
+            Some(_) => RosterChange::Usable,
+            None => RosterChange::None,
+        }
+    }
+
+    /// Takes in all announcements that stand in the store.
+    pub fn replace_all(&mut self, listed: Vec<Upstream>, now: Instant) -> RosterChange {
+        let unlisted: Vec<InstanceId> = self
+            .entries
+            .keys()
+            .filter(|instance| !listed.iter().any(|upstream| upstream.instance == **instance))
+            .cloned()
+            .collect();
+        let mut change = RosterChange::None;
+        for instance in unlisted {
+            if self.withdraw(&instance, now) == RosterChange::Usable {
+                change = RosterChange::Usable;
+            }
+        }
+        for upstream in listed {
+            if self.announce(upstream) == RosterChange::Usable {
+                change = RosterChange::Usable;
+            }
+        }
+        change
+    }
+
+    /// Takes in that the store cannot be heard.
+    pub fn lose_store(&mut self) {
+        self.store_away = true;
+    }
+
+    /// Takes in that the store can be heard again.
+    pub fn regain_store(&mut self, now: Instant) {
+        if std::mem::take(&mut self.store_away) {
+            self.rejoin_until = Some(now + REJOIN_GRACE);
+        }
+    }
+
+    /// Drops entries that did not come back in time after the store's return.
+    pub fn settle(&mut self, now: Instant) -> RosterChange {
+        if self.rejoin_until.is_none_or(|until| now < until) {
+            return RosterChange::None;
+        }
+        self.rejoin_until = None;
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| !entry.missing);
+        if self.entries.len() == before { RosterChange::None } else { RosterChange::Usable }
+    }
+
+    /// The upstreams that may be used, draining ones included.
+    pub fn usable(&self) -> Vec<Upstream> {
+        self.entries.values().map(|entry| entry.upstream.clone()).collect()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/scheduler/mod.rs
@@ -0,0 +1,312 @@
+//! Which upstream a request goes to, and when.
+//!
+//! Engines admit in order of arrival and know no tiers: what waits at an engine cannot be
+//! overtaken. So no more is handed to an upstream than it works on at once; the rest waits here, by
+//! tier, and is refused at once where it would wait in vain. No I/O: time and events come in,
+//! decisions come out.
+
+mod place;
+mod queue;
+mod speed;
+mod tracked;
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::model::{InstanceId, Places, Upstream};
+use queue::Queue;
+use tracked::Tracked;
+
+pub use tracked::Load;
+
+/// How long a place of a prompt's last part is remembered; engines drop unused parts after about as
+/// long under load.
+const AFFINITY_MEMORY: Duration = Duration::from_secs(10);
+
+/// Most remembered places.
+const AFFINITY_ENTRIES: usize = 4_096;
+
+/// What the scheduler needs to know of a request.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The service that serves it.
+    pub service: String,
+    /// Its rank; 0 is the highest.
+    pub tier: u8,
+    /// Tokens of its prompt; 0 for a plain service.
+    pub prompt_tokens: u32,
+    /// The last part of its prompt, which the request's session shares.
+    pub session_part: Option<u64>,
+    /// When it came.
+    pub arrived: Instant,
+    /// Until when an answer has its full worth.
+    pub objective_at: Instant,
+    /// Until when it may wait for a place.
+    pub wait_until: Instant,
+    /// Upstreams that it must not go to again.
+    pub excluded: Vec<InstanceId>,
+}
+
+/// Names a request that waits.
+pub type WaiterId = u64;
+
+/// A place at an upstream. It counts as taken until `ended` is called.
+#[derive(Debug, Clone)]
+pub struct Assignment {
+    /// The upstream.
+    pub instance: InstanceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Prompt tokens that are counted at the upstream until the first event.
+    pub prompt_tokens: u32,
+    /// When the place was given.
+    pub at: Instant,
+    backlog_tokens: u64,
+    in_backlog: bool,
+    ticket: u64,
+}
+
+/// What comes of offering a request.
+#[derive(Debug, Clone)]
+pub enum Offer {
+    /// It has a place.
+    Place(Assignment),
+    /// It waits.
+    Wait(WaiterId),
+    /// It won't get a place in time.
+    Refuse(Refused),
+}
+
+/// Why a request gets no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// What is in the way.
+    pub reason: RefusedBecause,
+    /// When a place is expected.
+    pub retry_after: Duration,
+}
+
+/// What is in the way of a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusedBecause {
+    /// No upstream of the service is known.
+    NoUpstream,
+    /// All places are taken and the wait would be too long.
+    Full,
+}
+
+/// How a place ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// With an answer.
+    Served,
+    /// With a failure of the upstream.
+    Failed,
+    /// The upstream declined it.
+    Declined,
+    /// The upstream could not be reached.
+    Unreachable,
+    /// The caller left or its time ran out.
+    Abandoned,
+}
+
+/// A request that stops waiting.
+#[derive(Debug, Clone)]
+pub enum Woken {
+    /// It has a place.
+    Place(WaiterId, Assignment),
+    /// It waited in vain.
+    Refuse(WaiterId, Refused),
+}
+
+/// All that is known of upstreams, and the requests that wait for them.
+#[derive(Debug)]
+pub struct Scheduler {
+    places: Places,
+    upstreams: HashMap<InstanceId, Tracked>,
+    queue: Queue,
+    sessions: HashMap<u64, (InstanceId, Instant)>,
+    next_ticket: u64,
+    rng: ChaCha8Rng,
+}
+
+impl Scheduler {
+    /// A scheduler that knows no upstream.
+    pub fn new(places: Places, seed: u64) -> Scheduler {
+        Scheduler {
+            places,
+            upstreams: HashMap::new(),
+            queue: Queue::default(),
+            sessions: HashMap::new(),
+            next_ticket: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in the upstreams that may be used now. Gives back the addresses that are none's any
+    /// more.
+    pub fn set_upstreams(&mut self, usable: &[Upstream], now: Instant) -> Vec<SocketAddr> {
+        let kept: HashSet<&str> = usable.iter().map(|upstream| &*upstream.instance).collect();
+        let mut freed = Vec::new();
+        self.upstreams.retain(|instance, tracked| {
+            let keep = kept.contains(&**instance);
+            if !keep {
+                freed.push(tracked.upstream.address);
+            }
+            keep
+        });
+        for upstream in usable {
+            match self.upstreams.get_mut(&upstream.instance) {
+                Some(tracked) if tracked.is_same_lifetime(upstream) => {
+                    tracked.upstream = upstream.clone();
+                }
+                Some(tracked) => {
+                    freed.push(tracked.upstream.address);
+                    *tracked = Tracked::new(upstream.clone(), now);
+                }
+                None => {
+                    let tracked = Tracked::new(upstream.clone(), now);
+                    self.upstreams.insert(upstream.instance.clone(), tracked);
+                }
+            }
+        }
+        freed
+    }
+
+    /// Takes in what a peer has in flight; replaces what it said before.
+    pub fn hear_peer(&mut self, peer: u64, loads: &HashMap<u32, Load>) {
+        for tracked in self.upstreams.values_mut() {
+            match loads.get(&tracked.short_id) {
+                Some(load) => tracked.peers.insert(peer, *load),
+                None => tracked.peers.remove(&peer),
+            };
+        }
+    }
+
+    /// Forgets what peers that are gone had in flight.
+    pub fn keep_peers(&mut self, is_member: impl Fn(u64) -> bool) {
+        for tracked in self.upstreams.values_mut() {
+            tracked.peers.retain(|peer, _| is_member(*peer));
+        }
+    }
+
+    /// What this process has in flight, by the short id of the upstream.
+    pub fn own_loads(&self) -> impl Iterator<Item = (u32, Load)> + '_ {
+        let busy = self.upstreams.values().filter(|tracked| tracked.own != Load::default());
+        busy.map(|tracked| (tracked.short_id, tracked.own))
+    }
+
+    /// Whether any upstream of a service is known.
+    pub fn knows_service(&self, service: &str) -> bool {
+        self.upstreams.values().any(|tracked| tracked.upstream.service == service)
+    }
+
+    /// Finds a place for a request, lets it wait for one, or refuses it.
+    pub fn offer(&mut self, job: Job, now: Instant) -> Offer {
+        if !self.knows_service(&job.service) {
+            let retry_after = place::RETRY_WITHOUT_UPSTREAM;
+            return Offer::Refuse(Refused { reason: RefusedBecause::NoUpstream, retry_after });
+        }
+        if !self.queue.has_ahead(&job)
+            && let Some(instance) = self.choose(&job, now)
+        {
+            return Offer::Place(self.assign(&instance, &job, now));
+        }
+        let wait = self.queue.expected_wait(&job, now);
+        if now + wait > job.wait_until {
+            return Offer::Refuse(Refused { reason: RefusedBecause::Full, retry_after: wait });
+        }
+        Offer::Wait(self.queue.push(job))
+    }
+
+    /// Gives places that are free now to requests that wait, the most important first.
+    pub fn wake(&mut self, now: Instant) -> Vec<Woken> {
+        let mut woken = Vec::new();
+        for waiter in self.queue.in_order(now) {
+            let Some(job) = self.queue.job(waiter).cloned() else { continue };
+            if now >= job.wait_until {
+                self.queue.remove(waiter);
+                let retry_after = self.queue.expected_wait(&job, now);
+                let refused = Refused { reason: RefusedBecause::Full, retry_after };
+                woken.push(Woken::Refuse(waiter, refused));
+            } else if let Some(instance) = self.choose(&job, now) {
+                self.queue.remove(waiter);
+                let assignment = self.assign(&instance, &job, now);
+                woken.push(Woken::Place(waiter, assignment));
+            }
+        }
+        woken
+    }
+
+    /// Takes a request out of the queue.
+    pub fn withdraw(&mut self, waiter: WaiterId) {
+        self.queue.remove(waiter);
+    }
+
+    /// How many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes in the first event of an answer, or the head of a plain one.
+    pub fn first_event(&mut self, assignment: &mut Assignment, now: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(&assignment.instance) {
+            tracked.leave_backlog(assignment);
+            tracked.learn_first_event(assignment, now);
+            tracked.heard_at = now;
+        }
+    }
+
+    /// Takes in that an upstream has sent something.
+    pub fn heard(&mut self, instance: &InstanceId, now: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(instance) {
+            tracked.heard_at = now;
+        }
+    }
+
+    /// Frees a place.
+    pub fn ended(&mut self, assignment: &mut Assignment, ending: Ending, now: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(&assignment.instance) {
+            tracked.leave_backlog(assignment);
+            tracked.end(assignment.ticket, ending, now);
+            if ending == Ending::Served {
+                self.queue.count_served(&tracked.upstream.service, now);
+            }
+        }
+    }
+
+    fn assign(&mut self, instance: &InstanceId, job: &Job, now: Instant) -> Assignment {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        if let Some(part) = job.session_part {
+            self.remember_session(part, instance, now);
+        }
+        let tracked = self.upstreams.get_mut(instance);
+        let (address, backlog_tokens) = tracked.map_or(
+            (SocketAddr::from(([0, 0, 0, 0], 0)), 0),
+            |tracked| tracked.begin(ticket, job.prompt_tokens, now),
+        );
+        Assignment {
+            instance: instance.clone(),
+            address,
+            prompt_tokens: job.prompt_tokens,
+            at: now,
+            backlog_tokens,
+            in_backlog: true,
+            ticket,
+        }
+    }
+
+    fn remember_session(&mut self, part: u64, instance: &InstanceId, now: Instant) {
+        if self.sessions.len() >= AFFINITY_ENTRIES {
+            self.sessions.retain(|_, (_, at)| now.saturating_duration_since(*at) < AFFINITY_MEMORY);
+        }
+        if self.sessions.len() < AFFINITY_ENTRIES {
+            self.sessions.insert(part, (instance.clone(), now));
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/scheduler/speed.rs
@@ -0,0 +1,39 @@
+//! How fast an upstream is, learned from its first events.
+
+/// Tokens that stand for the fixed work before a first event, so that short prompts count too.
+const FIXED_WORK_TOKENS: f64 = 500.0;
+
+/// What one observation leaves of the weight of those before it: about the last twenty count.
+const MEMORY: f64 = 0.95;
+
+/// Milliseconds a token before anything was observed, from the engines' data sheets.
+const INITIAL_MS_PER_TOKEN: f64 = 0.02;
+
+/// Weight of the initial value, in tokens.
+const INITIAL_TOKENS: f64 = 2_000.0;
+
+/// The ratio of time to tokens read until the first event.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Speed {
+    elapsed_ms: f64,
+    tokens: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Speed { elapsed_ms: INITIAL_MS_PER_TOKEN * INITIAL_TOKENS, tokens: INITIAL_TOKENS }
+    }
+}
+
+impl Speed {
+    /// Takes in that a first event came after `elapsed_ms` with `backlog_tokens` to read.
+    pub(super) fn observe(&mut self, elapsed_ms: f64, backlog_tokens: u64) {
+        self.elapsed_ms = self.elapsed_ms * MEMORY + elapsed_ms;
+        self.tokens = self.tokens * MEMORY + backlog_tokens as f64 + FIXED_WORK_TOKENS;
+    }
+
+    /// Time until a first event with `backlog_tokens` to read, in milliseconds.
+    pub(super) fn expect_ms(&self, backlog_tokens: u64) -> f64 {
+        self.elapsed_ms / self.tokens * (backlog_tokens as f64 + FIXED_WORK_TOKENS)
+    }
+}
--- /dev/null
+++ b/components/gateway/src/shell/admission.rs
@@ -0,0 +1,142 @@
+//! Whether a request is let in: route, key, allowance.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use errors::{Refusal, ResultCode};
+use http::{HeaderMap, Method, Uri};
+use rand::Rng;
+
+use super::head::Incoming;
+use super::state::{Shared, customer_id};
+use crate::allowance::{Grant, cost};
+use crate::model::{Customer, RequestFacts, Route};
+use crate::routes::pick_target;
+
+/// When to come back to a process that doesn't know the configuration, or isn't sure of it: the
+/// store is asked about once a second.
+const RETRY_WITHOUT_CONFIGURATION: Duration = Duration::from_millis(1_000);
+
+/// Part of the time left within which a caller still honours a time to come back.
+const HONOURED_SHARE: f64 = 1.0 / 3.0;
+
+/// Least time to come back after.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// How far times to come back are spread, so that callers don't return together.
+const RETRY_SPREAD: f64 = 0.3;
+
+/// A request that was let in.
+pub(super) struct Call {
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) facts: RequestFacts,
+    pub(super) route: Rc<Route>,
+    pub(super) service: String,
+    pub(super) customer: Option<Rc<Customer>>,
+    pub(super) tier: u8,
+    pub(super) arrived: Instant,
+    /// When the caller's patience or the route's timeout ends.
+    pub(super) limit_at: Instant,
+    /// What was taken from the customer's allowance.
+    taken: f64,
+}
+
+impl Call {
+    pub(super) fn time_left(&self, now: Instant) -> Duration {
+        self.limit_at.saturating_duration_since(now)
+    }
+}
+
+impl Shared {
+    /// Lets a request in or refuses it.
+    pub(super) fn admit(&self, incoming: Incoming, arrived: Instant) -> Result<Call, Refusal> {
+        let facts = self.dialect.read_request(&incoming.headers).map_err(|reason| {
+            Refusal::not_run(ResultCode::MalformedRequest).with_message(reason)
+        })?;
+        let without = || self.not_run(ResultCode::ConfigurationMissing, RETRY_WITHOUT_CONFIGURATION);
+        let known = self.configuration().ok_or_else(without)?;
+        let sure = self.honours_keys();
+        let Some(route) = known.routes.find(&incoming.host, incoming.target.path()) else {
+            return Err(if sure { Refusal::not_run(ResultCode::NotFound) } else { without() });
+        };
+        let customer = if known.asks_for_keys && !route.public {
+            if !sure {
+                return Err(without());
+            }
+            let key = facts.key.as_deref().unwrap_or_default();
+            let found = known.keys.find(key);
+            Some(found.ok_or_else(|| Refusal::not_run(ResultCode::UnknownKey))?)
+        } else {
+            None
+        };
+        let patience = facts.patience.map_or(route.timeout, |left| left.min(route.timeout));
+        let limit_at = arrived + patience;
+        let service = pick_target(&route.targets, rand::rng().random())
+            .ok_or_else(|| Refusal::not_run(ResultCode::NoUpstream))?
+            .to_owned();
+        let taken = self.take_allowance(customer.as_deref(), &facts, limit_at)?;
+        let tier = customer.as_ref().and_then(|customer| customer.tier).unwrap_or(route.tier);
+        let Incoming { method, target, headers, body, .. } = incoming;
+        Ok(Call {
+            method,
+            target,
+            headers,
+            body,
+            facts,
+            route,
+            service,
+            customer,
+            tier,
+            arrived,
+            limit_at,
+            taken,
+        })
+    }
+
+    fn take_allowance(
+        &self,
+        customer: Option<&Customer>,
+        facts: &RequestFacts,
+        limit_at: Instant,
+    ) -> Result<f64, Refusal> {
+        let Some((customer, allowance)) =
+            customer.and_then(|customer| Some((customer, customer.allowance?)))
+        else {
+            return Ok(0.0);
+        };
+        let now = self.clock.now();
+        let cost = cost(allowance.unit, facts);
+        let id = customer_id(&customer.name);
+        match self.allowances.borrow_mut().take(id, allowance, cost, now) {
+            Grant::Granted => Ok(cost),
+            Grant::Refused { retry_after } => {
+                let left = limit_at.saturating_duration_since(now);
+                let wait = honoured(retry_after, left);
+                Err(self.not_run(ResultCode::LimitReached, wait))
+            }
+        }
+    }
+
+    /// Gives a customer back what a request took that did not run.
+    pub(super) fn give_back(&self, call: &Call) {
+        if let Some(customer) = &call.customer {
+            self.allowances.borrow_mut().give_back(customer_id(&customer.name), call.taken);
+        }
+    }
+
+    /// A refusal of a request that has not run, with a spread time to come back.
+    pub(super) fn not_run(&self, code: ResultCode, wait: Duration) -> Refusal {
+        let spread = 1.0 + RETRY_SPREAD * (rand::rng().random::<f64>() - 0.5);
+        Refusal::not_run(code).with_retry_after(wait.mul_f64(spread))
+    }
+}
+
+/// The time to come back that is nearest to `wait` and that a caller with `left` still honours.
+pub(super) fn honoured(wait: Duration, left: Duration) -> Duration {
+    let longest = left.mul_f64(HONOURED_SHARE / (1.0 + RETRY_SPREAD / 2.0));
+    wait.max(LEAST_RETRY_AFTER).min(longest)
+}
--- /dev/null
+++ b/components/gateway/src/shell/mod.rs
@@ -0,0 +1,143 @@
+//! Sockets, timers and tasks around the decisions, all on one thread.
+
+mod admission;
+mod answer;
+mod callers;
+mod exchange;
+mod hand_over;
+mod head;
+mod metrics;
+mod peering;
+mod readiness;
+mod relay;
+mod seat;
+mod state;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clock::Clock;
+use log::info;
+use tokio::net::TcpListener;
+
+use crate::Settings;
+use crate::dialect::Dialect;
+use crate::model::{Configuration, Upstream};
+use crate::peers::Member;
+use state::Shared;
+
+/// How long before the end of the grace period the process leaves by itself: time for its exit.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long after the start of a planned stop idle callers' connections stay open: the balancer
+/// turns away after two missed checks, a second apart.
+const IDLE_LINGER: Duration = Duration::from_millis(2_200);
+
+/// How often a planned stop looks whether everything is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// How often beliefs that change with time alone are looked at.
+const SETTLE_PERIOD: Duration = Duration::from_millis(100);
+
+/// What the adapter of a platform tells the gateway.
+pub trait Directory {
+    /// The store holds this configuration. `asked_at` is the uptime at which it was asked.
+    fn configure(&self, configuration: Configuration, asked_at: Duration);
+    /// The store holds no newer configuration than the last one told.
+    fn confirm(&self, asked_at: Duration);
+    /// An upstream announces itself.
+    fn announce(&self, upstream: Upstream);
+    /// An upstream's announcement is gone.
+    fn withdraw(&self, instance: &str);
+    /// All announcements that stand in the store.
+    fn replace_upstreams(&self, listed: Vec<Upstream>);
+    /// All other entries that stand in the store.
+    fn set_members(&self, members: Vec<Member>);
+    /// The store cannot be heard.
+    fn lose_store(&self, reason: &str);
+    /// The store can be heard again.
+    fn regain_store(&self);
+}
+
+/// A gateway that is about to start.
+pub struct Gateway {
+    /// Its settings.
+    pub settings: Settings,
+    /// Names this process among entries; differs at each start.
+    pub process_id: u64,
+    /// The platform's names on the wire.
+    pub dialect: Box<dyn Dialect>,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// A gateway that runs.
+#[derive(Clone)]
+pub struct GatewayHandle {
+    shared: Rc<Shared>,
+}
+
+impl Gateway {
+    /// Binds the addresses and serves. Must be called on a thread that runs an ntex system.
+    pub async fn spawn(self) -> Result<GatewayHandle> {
+        let settings = &self.settings;
+        let callers = bind(settings.listen).await?;
+        let readiness = bind(settings.readiness_listen).await?;
+        let internal = bind(settings.internal_listen).await?;
+        let datagrams = peering::bind(settings.internal_listen).await?;
+        let shared = Rc::new(Shared::new(self)?);
+        let handle = GatewayHandle { shared: shared.clone() };
+        tokio::task::spawn_local(callers::serve(shared.clone(), callers));
+        tokio::task::spawn_local(readiness::serve(shared.clone(), readiness));
+        tokio::task::spawn_local(metrics::serve(shared.clone(), internal));
+        tokio::task::spawn_local(peering::run(shared.clone(), datagrams));
+        tokio::task::spawn_local(settle_regularly(shared));
+        Ok(handle)
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("{address}: cannot be bound"))
+}
+
+async fn settle_regularly(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(SETTLE_PERIOD).await;
+        shared.settle();
+    }
+}
+
+impl GatewayHandle {
+    /// What the adapter reports to.
+    pub fn directory(&self) -> Rc<dyn Directory> {
+        self.shared.clone()
+    }
+
+    /// Takes in changed settings; addresses stay as they are.
+    pub fn reload(&self, settings: Settings) {
+        self.shared.reload(settings);
+    }
+
+    /// A planned stop: not ready at once, open requests finish, idle connections are closed in
+    /// order. Returns when everything is done or the grace period is over.
+    pub async fn stop(&self) {
+        let grace_period = self.shared.begin_stop();
+        let began = self.shared.clock.now();
+        let latest = grace_period.saturating_sub(EXIT_MARGIN);
+        loop {
+            tokio::time::sleep(STOP_POLL).await;
+            let elapsed = self.shared.clock.now().saturating_duration_since(began);
+            if elapsed >= IDLE_LINGER {
+                self.shared.close_idle_callers();
+            }
+            let (open, connections) = self.shared.open_work();
+            if (elapsed >= IDLE_LINGER && open == 0 && connections == 0) || elapsed >= latest {
+                let elapsed_ms = elapsed.as_millis();
+                info!("stop.end open_requests={open} connections={connections} after_ms={elapsed_ms}");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/shell/relay.rs
@@ -0,0 +1,231 @@
+//! Passes a stream on, event by event, and goes on at another upstream where the route allows.
+
+use std::fmt;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use log::{info, warn};
+use tokio::time::{Instant as TokioInstant, timeout_at};
+
+use super::admission::Call;
+use super::exchange::Tried;
+use super::hand_over::{Began, SharedRef, Started};
+use super::seat::Seat;
+use crate::events::{EventSplitter, last_event_id};
+use crate::outcome::HandOver;
+use crate::scheduler::{Ending, Job};
+
+/// A stream that is being passed on. Dropping it closes the connection to the upstream.
+pub(super) struct Relay {
+    shared: SharedRef,
+    call: Rc<Call>,
+    seat: Seat,
+    source: Option<Started>,
+    splitter: EventSplitter,
+    last_id: Option<u64>,
+    first: Option<Bytes>,
+    tried: Tried,
+    events: u64,
+}
+
+/// How a stream began.
+pub(super) enum RelayStart {
+    /// Its first events are here.
+    Events(Box<Relay>),
+    /// It broke off before its first event.
+    Broken,
+    /// Its time ran out before its first event.
+    OutOfTime,
+}
+
+/// The stream ends before its last event. The server closes the connection, so that it cannot be
+/// taken for a whole one.
+#[derive(Debug)]
+pub(super) struct BrokenStream;
+
+impl fmt::Display for BrokenStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the stream broke off")
+    }
+}
+
+impl std::error::Error for BrokenStream {}
+
+enum Read {
+    Events(Bytes),
+    End,
+    Broken(String),
+    OutOfTime,
+}
+
+impl Relay {
+    /// Waits for the first event, so that a failure before it can still be answered as one.
+    pub(super) async fn begin(
+        shared: SharedRef,
+        call: Rc<Call>,
+        seat: Seat,
+        source: Started,
+        tried: &Tried,
+    ) -> RelayStart {
+        let mut relay = Box::new(Relay {
+            last_id: call.facts.resume_after,
+            shared,
+            call,
+            seat,
+            source: Some(source),
+            splitter: EventSplitter::default(),
+            first: None,
+            tried: Tried {
+                excluded: tried.excluded.clone(),
+                hand_overs: tried.hand_overs,
+                used: tried.used + 1,
+            },
+            events: 0,
+        });
+        match relay.read().await {
+            Read::Events(events) => {
+                relay.seat.first_event();
+                relay.first = Some(events);
+                RelayStart::Events(relay)
+            }
+            Read::End => {
+                relay.finish();
+                relay.first = Some(Bytes::new());
+                RelayStart::Events(relay)
+            }
+            Read::Broken(reason) => {
+                relay.shared.note_failure(&relay.call, &mut relay.seat, &reason);
+                RelayStart::Broken
+            }
+            Read::OutOfTime => RelayStart::OutOfTime,
+        }
+    }
+
+    /// The events from the first one on.
+    pub(super) fn into_events(
+        self: Box<Self>,
+    ) -> impl Stream<Item = Result<ntex::util::Bytes, BrokenStream>> + Unpin + 'static {
+        Box::pin(stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Some(Ok(events)) => {
+                    let events = ntex::util::Bytes::copy_from_slice(&events);
+                    Some((Ok(events), Some(relay)))
+                }
+                Some(Err(broken)) => Some((Err(broken), None)),
+                None => None,
+            }
+        }))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenStream>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(first));
+        }
+        loop {
+            self.source.as_ref()?;
+            let reason = match self.read().await {
+                Read::Events(events) => return Some(Ok(events)),
+                Read::End => {
+                    self.finish();
+                    return None;
+                }
+                Read::Broken(reason) => reason,
+                Read::OutOfTime => {
+                    info!(
+                        "stream.timeout id={} events={}",
+                        self.call.facts.attempt_id, self.events
+                    );
+                    return Some(Err(BrokenStream));
+                }
+            };
+            self.source = None;
+            self.shared.note_failure(&self.call, &mut self.seat, &reason);
+            if !self.resume().await {
+                warn!("stream.broken id={} events={}", self.call.facts.attempt_id, self.events);
+                return Some(Err(BrokenStream));
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Read {
+        let limit = TokioInstant::from_std(self.call.limit_at);
+        loop {
+            let Some(source) = &mut self.source else { return Read::End };
+            let frame = match timeout_at(limit, source.body.frame()).await {
+                Err(_) => return Read::OutOfTime,
+                Ok(None) if self.splitter.has_partial() => {
+                    return Read::Broken("ended within an event".to_owned());
+                }
+                Ok(None) => return Read::End,
+                Ok(Some(Err(error))) => return Read::Broken(error.to_string()),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            self.seat.heard();
+            if let Some(events) = self.splitter.push(&bytes) {
+                self.last_id = last_event_id(&events).or(self.last_id);
+                self.events += 1;
+                return Read::Events(events);
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(source) = self.source.take() {
+            self.shared.keep(&self.seat, source.connection, &source.facts);
+        }
+        self.seat.end(Ending::Served);
+    }
+
+    /// Goes on at another upstream after the last whole event.
+    async fn resume(&mut self) -> bool {
+        self.splitter.reset();
+        let call = self.call.clone();
+        let resumable = call.route.kind.may_repeat();
+        while resumable && self.tried.used < call.route.max_upstreams {
+            self.tried.excluded.push(self.seat.assignment().instance.clone());
+            if !self.shared.may_go_again(&call, &self.tried, true) {
+                return false;
+            }
+            self.tried.hand_overs += 1;
+            let Ok(assignment) = self.shared.offer(self.resume_job()) else { return false };
+            self.seat = Seat::new(self.shared.clone(), assignment);
+            let began = self.shared.send(&call, &mut self.seat, self.last_id).await;
+            info!(
+                "stream.resume id={} instance={} after={:?}",
+                call.facts.attempt_id,
+                self.seat.assignment().instance,
+                self.last_id
+            );
+            match began {
+                Began::Started(started) if started.status.is_success() => {
+                    self.tried.used += 1;
+                    self.source = Some(*started);
+                    return true;
+                }
+                Began::Ended(HandOver::NotSent | HandOver::Declined) => {}
+                Began::Started(_) | Began::Ended(_) => self.tried.used += 1,
+                Began::OutOfTime => return false,
+            }
+        }
+        false
+    }
+
+    fn resume_job(&self) -> Job {
+        let now = self.shared.clock.now();
+        Job {
+            service: self.call.service.clone(),
+            tier: 0,
+            prompt_tokens: self.call.facts.prompt_tokens.unwrap_or(0),
+            session_part: None,
+            arrived: self.call.arrived,
+            objective_at: now,
+            wait_until: now,
+            excluded: self.tried.excluded.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/shell/state.rs
@@ -0,0 +1,312 @@
+//! Everything the gateway knows, and who waits for it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use clock::Clock;
+use link::{Pool, Timeouts};
+use log::{info, warn};
+use tokio::sync::{Notify, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::metrics::Metrics;
+use super::{Directory, Gateway};
+use crate::Settings;
+use crate::allowance::Allowances;
+use crate::budget::RetryBudget;
+use crate::customers::KeyRing;
+use crate::dialect::Dialect;
+use crate::freshness::Freshness;
+use crate::model::{CallerLimits, Configuration, Upstream};
+use crate::peers::{Member, Peers};
+use crate::roster::{Roster, RosterChange};
+use crate::routes::RouteTable;
+use crate::scheduler::{Assignment, Offer, Refused, Scheduler, WaiterId, Woken};
+
+/// How connections to upstreams are watched. A handshake takes one round trip, tens of milliseconds
+/// between regions; an upstream whose queue of new connections is full drops the first packet, and
+/// another upstream is the better choice then. Unacknowledged bytes and unanswered probes show a
+/// connection that silently died.
+pub(super) const UPSTREAM_TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(400),
+    unacknowledged: Duration::from_millis(2_000),
+    probe: Duration::from_millis(1_000),
+};
+
+/// A configuration in force, in the form that requests look things up in.
+#[derive(Debug, Default)]
+pub(super) struct InForce {
+    pub(super) version: u64,
+    pub(super) routes: RouteTable,
+    pub(super) keys: KeyRing,
+    pub(super) asks_for_keys: bool,
+    pub(super) limits: CallerLimits,
+}
+
+/// The state of the gateway, shared by all tasks of its thread.
+pub(super) struct Shared {
+    pub(super) settings: RefCell<Settings>,
+    pub(super) process_id: u64,
+    pub(super) dialect: Box<dyn Dialect>,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) metrics: Metrics,
+    pub(super) pool: Pool,
+    pub(super) in_force: RefCell<Option<Rc<InForce>>>,
+    pub(super) freshness: Cell<Freshness>,
+    pub(super) scheduler: RefCell<Scheduler>,
+    pub(super) allowances: RefCell<Allowances>,
+    pub(super) budget: RefCell<RetryBudget>,
+    pub(super) peers: RefCell<Peers>,
+    pub(super) callers_close: Notify,
+    pub(super) callers_closing: Cell<bool>,
+    pub(super) stopping: Cell<bool>,
+    pub(super) open_requests: Cell<usize>,
+    pub(super) open_connections: Cell<usize>,
+    roster: RefCell<Roster>,
+    waiters: RefCell<HashMap<WaiterId, oneshot::Sender<Result<Assignment, Refused>>>>,
+    was_ready: Cell<bool>,
+}
+
+/// Names a customer between entries, in four bytes.
+pub(super) fn customer_id(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
+impl Shared {
+    pub(super) fn new(gateway: Gateway) -> Result<Shared> {
+        let Gateway { settings, process_id, dialect, clock } = gateway;
+        let now = clock.now();
+        Ok(Shared {
+            scheduler: RefCell::new(Scheduler::new(settings.places.clone(), process_id)),
+            budget: RefCell::new(RetryBudget::new(settings.retry_limit, now)),
+            settings: RefCell::new(settings),
+            process_id,
+            dialect,
+            clock,
+            metrics: Metrics::new()?,
+            pool: Pool::default(),
+            in_force: RefCell::default(),
+            freshness: Cell::default(),
+            allowances: RefCell::default(),
+            peers: RefCell::default(),
+            callers_close: Notify::new(),
+            callers_closing: Cell::new(false),
+            stopping: Cell::new(false),
+            open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
+            roster: RefCell::default(),
+            waiters: RefCell::default(),
+            was_ready: Cell::new(false),
+        })
+    }
+
+    pub(super) fn configuration(&self) -> Option<Rc<InForce>> {
+        self.in_force.borrow().clone()
+    }
+
+    pub(super) fn caller_limits(&self) -> CallerLimits {
+        self.in_force.borrow().as_ref().map_or_else(CallerLimits::default, |known| known.limits)
+    }
+
+    /// Whether the store has confirmed the configuration recently enough to honour keys.
+    pub(super) fn honours_keys(&self) -> bool {
+        let validity = self.settings.borrow().key_validity;
+        validity.is_none_or(|limit| self.freshness.get().is_within(self.clock.uptime(), limit))
+    }
+
+    pub(super) fn confirmation_age_ms(&self) -> u128 {
+        let age = self.freshness.get().age(self.clock.uptime());
+        age.map_or(u128::MAX, |age| age.as_millis())
+    }
+
+    /// Whether the process should get new connections.
+    pub(super) fn is_ready(&self) -> bool {
+        let ready = !self.stopping.get()
+            && self.configuration().is_some()
+            && self.honours_keys()
+            && !self.roster.borrow().usable().is_empty();
+        if self.was_ready.replace(ready) != ready {
+            let age_ms = self.confirmation_age_ms();
+            info!("ready.changed ready={ready} confirmation_age_ms={age_ms}");
+        }
+        ready
+    }
+
+    pub(super) fn reload(&self, settings: Settings) {
+        self.budget.borrow_mut().set_limit(settings.retry_limit);
+        *self.settings.borrow_mut() = settings;
+    }
+
+    pub(super) fn begin_stop(&self) -> Duration {
+        self.stopping.set(true);
+        let open = self.open_requests.get();
+        info!("stop.begin open_requests={open}");
+        self.settings.borrow().grace_period
+    }
+
+    pub(super) fn close_idle_callers(&self) {
+        self.callers_closing.set(true);
+        self.callers_close.notify_waiters();
+    }
+
+    pub(super) fn open_work(&self) -> (usize, usize) {
+        (self.open_requests.get(), self.open_connections.get())
+    }
+
+    /// Looks at beliefs that change with time alone.
+    pub(super) fn settle(&self) {
+        let now = self.clock.now();
+        let change = self.roster.borrow_mut().settle(now);
+        self.apply_roster(change);
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.settle(now);
+            self.scheduler.borrow_mut().keep_peers(|id| peers.is_heard(id, now));
+            self.allowances.borrow_mut().keep_peers(|id| peers.is_member(id));
+        }
+        self.pool.sweep(now);
+        self.wake_waiters(now);
+        self.is_ready();
+    }
+
+    /// Offers a request to the scheduler; the receiver gets its place where it has to wait.
+    pub(super) fn offer(&self, job: crate::scheduler::Job) -> Result<Assignment, Waiting> {
+        let now = self.clock.now();
+        match self.scheduler.borrow_mut().offer(job, now) {
+            Offer::Place(assignment) => Ok(assignment),
+            Offer::Refuse(refused) => Err(Waiting::Refused(refused)),
+            Offer::Wait(waiter) => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiters.borrow_mut().insert(waiter, sender);
+                Err(Waiting::For(waiter, receiver))
+            }
+        }
+    }
+
+    /// Takes a request out of the queue whose caller is gone.
+    pub(super) fn withdraw_waiter(&self, waiter: WaiterId) {
+        if self.waiters.borrow_mut().remove(&waiter).is_some() {
+            self.scheduler.borrow_mut().withdraw(waiter);
+        }
+    }
+
+    /// Gives free places to requests that wait.
+    pub(super) fn wake_waiters(&self, now: Instant) {
+        if self.waiters.borrow().is_empty() {
+            return;
+        }
+        let woken = self.scheduler.borrow_mut().wake(now);
+        for woken in woken {
+            let (waiter, result) = match woken {
+                Woken::Place(waiter, assignment) => (waiter, Ok(assignment)),
+                Woken::Refuse(waiter, refused) => (waiter, Err(refused)),
+            };
+            let sender = self.waiters.borrow_mut().remove(&waiter);
+            let Some(sender) = sender else { continue };
+            if let Err(Ok(mut unclaimed)) = sender.send(result) {
+                let ending = crate::scheduler::Ending::Abandoned;
+                self.scheduler.borrow_mut().ended(&mut unclaimed, ending, now);
+            }
+        }
+    }
+
+    fn apply_roster(&self, change: RosterChange) {
+        if change == RosterChange::None {
+            return;
+        }
+        let usable = self.roster.borrow().usable();
+        let draining = usable.iter().filter(|upstream| upstream.draining).count();
+        info!("upstreams.changed known={} draining={draining}", usable.len());
+        let now = self.clock.now();
+        let freed = self.scheduler.borrow_mut().set_upstreams(&usable, now);
+        for address in freed {
+            self.pool.forget(address);
+        }
+        self.wake_waiters(now);
+    }
+}
+
+/// Why a request has no place yet.
+pub(super) enum Waiting {
+    /// It waits; the receiver gets the place.
+    For(WaiterId, oneshot::Receiver<Result<Assignment, Refused>>),
+    /// It gets none.
+    Refused(Refused),
+}
+
+impl Directory for Shared {
+    fn configure(&self, configuration: Configuration, asked_at: Duration) {
+        let before = self.in_force.borrow().as_ref().map_or(0, |known| known.version);
+        if configuration.version < before {
+            warn!("configuration.older offered={} kept={before}", configuration.version);
+            return;
+        }
+        self.confirm(asked_at);
+        if configuration.version == before && before != 0 {
+            return;
+        }
+        let routes = RouteTable::new(&configuration.routes);
+        let (version, route_count) = (configuration.version, routes.len());
+        let in_force = InForce {
+            version,
+            routes,
+            keys: KeyRing::new(&configuration.customers),
+            asks_for_keys: !configuration.customers.is_empty(),
+            limits: configuration.caller_limits,
+        };
+        *self.in_force.borrow_mut() = Some(Rc::new(in_force));
+        self.metrics.show_version(version);
+        let customers = configuration.customers.len();
+        info!("configuration.changed version={version} before={before} routes={route_count} customers={customers}");
+    }
+
+    fn confirm(&self, asked_at: Duration) {
+        let mut freshness = self.freshness.get();
+        freshness.confirm(asked_at);
+        self.freshness.set(freshness);
+    }
+
+    fn announce(&self, upstream: Upstream) {
+        let change = self.roster.borrow_mut().announce(upstream);
+        self.apply_roster(change);
+    }
+
+    fn withdraw(&self, instance: &str) {
+        let change = self.roster.borrow_mut().withdraw(instance, self.clock.now());
+        info!("upstream.withdrawn instance={instance} kept={}", change == RosterChange::None);
+        self.apply_roster(change);
+    }
+
+    fn replace_upstreams(&self, listed: Vec<Upstream>) {
+        let change = self.roster.borrow_mut().replace_all(listed, self.clock.now());
+        self.apply_roster(change);
+    }
+
+    fn set_members(&self, members: Vec<Member>) {
+        let now = self.clock.now();
+        let others: Vec<Member> =
+            members.into_iter().filter(|member| member.id != self.process_id).collect();
+        let mut peers = self.peers.borrow_mut();
+        peers.set_members(&others, now);
+        for member in &others {
+            self.allowances.borrow_mut().expect_peer(member.id, now);
+        }
+        info!("members.changed others={} counted={}", others.len(), peers.entries());
+    }
+
+    fn lose_store(&self, reason: &str) {
+        self.roster.borrow_mut().lose_store();
+        let age_ms = self.confirmation_age_ms();
+        warn!("store.lost reason={reason:?} confirmation_age_ms={age_ms}");
+    }
+
+    fn regain_store(&self) {
+        self.roster.borrow_mut().regain_store(self.clock.now());
+        let age_ms = self.confirmation_age_ms();
+        info!("store.regained confirmation_age_ms={age_ms}");
+    }
+}
--- a/components/peers/src/ask.rs
+++ b/components/peers/src/ask.rs
@@ -11,7 +11,7 @@
 use configuration::{Document, InForce, Offer, Snapshot};
 use identity::ConfigVersion;
 use log::{debug, info};
-use platform::KeyValueStore;
+use store::KeyValueStore;
 use tokio::time::timeout;
 use wire::v1;
 
--- a/components/peers/src/run.rs
+++ b/components/peers/src/run.rs
@@ -14,7 +14,7 @@
 use configuration::sync::{Event, Next, Place, Source, Sync, choose_relays};
 use identity::{ConfigVersion, ZoneId};
 use log::warn;
-use platform::KeyValueStore;
+use store::KeyValueStore;
 use tokio::sync::{Notify, mpsc};
 use wire::v1::peer_server::PeerServer;
 
--- a/components/standin/src/memory_store.rs
+++ b/components/standin/src/memory_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use platform::{KeyValueStore, LeaseId, Revision, StoreError, SwapResult, Versioned, WatchReply};
+use store::{KeyValueStore, LeaseId, Revision, StoreError, SwapResult, Versioned, WatchReply};
 
 use crate::lock;
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,8 @@
 pub mod ctl;
 pub mod demo;
 pub mod entry;
+pub mod gateway;
+mod logs;
 pub mod replay;
 pub mod standin;
 
