Finish streams at a planned stop, and end a broken one without bytes of another answer

Ruled out: the balancer; new connections do come during a stop where a zone has few entries left.

Change: an open request lives until its last event; a broken stream ends the connection; nothing is let in later than 2.8 s into a stop, and the process leaves once nothing is open.

--- a/components/configuration/src/repository/audit.rs
+++ b/components/configuration/src/repository/audit.rs
@@ -4,9 +4,9 @@
 
 use clock::unix_ms;
 use identity::ConfigVersion;
-use store::{KeyValueStore, Revision, StoreError, SwapResult, Versioned};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use store::{KeyValueStore, Revision, StoreError, SwapResult, Versioned};
 
 use super::Submission;
 use super::read::ReadError;
--- a/components/configuration/src/repository/read.rs
+++ b/components/configuration/src/repository/read.rs
@@ -6,9 +6,9 @@
 
 use identity::ConfigVersion;
 use log::warn;
-use store::{KeyValueStore, Revision, StoreError};
 use serde::de::DeserializeOwned;
 use sha2::{Digest, Sha256};
+use store::{KeyValueStore, Revision, StoreError};
 
 use crate::layout::{Delta, INDEX_KEY, Index, LayoutError, Log, Manifest, ObjectKey, Parts};
 use crate::{Document, Snapshot};
--- a/components/configuration/src/repository/submit.rs
+++ b/components/configuration/src/repository/submit.rs
@@ -7,10 +7,10 @@
 use errors::{Outcome, Refusal, ResultCode};
 use identity::ConfigVersion;
 use log::warn;
-use store::{KeyValueStore, Revision, StoreError, SwapResult};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
+use store::{KeyValueStore, Revision, StoreError, SwapResult};
 
 use super::collect::collect;
 use super::read::{ReadError, read_at, read_index, read_log, read_manifest};
--- a/components/configuration/tests/layout.rs
+++ b/components/configuration/tests/layout.rs
@@ -9,9 +9,9 @@
 use configuration::repository::{check_patch, read_index, read_log, read_newer};
 use errors::ResultCode;
 use identity::{ConfigVersion, CustomerId};
-use store::{KeyValueStore, Revision};
 use serde_json::json;
 use standin::memory_store::MemoryStore;
+use store::{KeyValueStore, Revision};
 use support::{document_of, rate_of, run, submit};
 
 const CUSTOMERS: usize = 15_000;
--- a/components/entry/src/controllers/claims/mod.rs
+++ b/components/entry/src/controllers/claims/mod.rs
@@ -11,9 +11,9 @@
 
 use errors::Outcome;
 use identity::{CustomerId, DispatchEpoch, ProcessId, RequestId, UpstreamId};
-use store::{Revision, StoreError};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use store::{Revision, StoreError};
 use wire::{RequestKey, ServiceCall};
 
 pub use claiming::Claiming;
--- a/components/entry/src/controllers/claims/settle.rs
+++ b/components/entry/src/controllers/claims/settle.rs
@@ -5,8 +5,8 @@
 use clock::unix_ms;
 use errors::{Outcome, Refusal, ResultCode};
 use identity::CustomerId;
-use store::{KeyValueStore, Revision, StoreError, SwapResult};
 use serde::{Deserialize, Serialize};
+use store::{KeyValueStore, Revision, StoreError, SwapResult};
 
 use super::{Claim, SettledBy, State, Writer, shard_prefix, store_key};
 
--- a/components/entry/src/shell/operators.rs
+++ b/components/entry/src/shell/operators.rs
@@ -11,10 +11,10 @@
 use errors::{Refusal, ResultCode};
 use identity::ConfigVersion;
 use log::info;
-use store::HostState;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
+use store::HostState;
 use tokio::runtime;
 use web::{Handler, Request, Response};
 
--- a/components/entry/tests/booking.rs
+++ b/components/entry/tests/booking.rs
@@ -9,11 +9,11 @@
 use entry::controllers::claims::list_unsettled;
 use entry::{Entry, EntryHandle, PlatformSettings};
 use identity::{HostId, UpstreamId, ZoneId};
-use store::HttpStore;
 use serde_json::{Value, json};
 use standin::hosts::Hosts;
 use standin::service::Service;
 use standin::store::{Faults, Store};
+use store::HttpStore;
 use web::{Client, Handler, Request, Server, ServerHandle};
 
 const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
--- a/components/entry/tests/claims.rs
+++ b/components/entry/tests/claims.rs
@@ -13,9 +13,9 @@
 };
 use errors::{Outcome, Refusal, ResultCode};
 use identity::{ConfigVersion, CustomerId, ProcessId, ServiceId, Tier, UpstreamId};
-use store::{Revision, StoreError, SwapResult};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
+use store::{Revision, StoreError, SwapResult};
 use wire::{Dispatch, RequestKey, ServiceCall, Work};
 
 const ENTRIES: usize = 3;
--- a/components/entry/tests/fencing.rs
+++ b/components/entry/tests/fencing.rs
@@ -7,9 +7,9 @@
 use clock::{Clock, ManualClock};
 use entry::controllers::leases::{Event, Lease, Next};
 use identity::{FencingToken, ProcessId};
-use store::{LeaseId, Revision, StoreError, SwapResult};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
+use store::{LeaseId, Revision, StoreError, SwapResult};
 
 const LEASE: Duration = Duration::from_secs(4);
 const HOLDERS: usize = 2;
--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -24,11 +24,11 @@
 pub fn cost(unit: AllowanceUnit, facts: &RequestFacts) -> f64 {
     match unit {
         AllowanceUnit::Requests => 1.0,
-        AllowanceUnit::Tokens { plain_tokens } => facts
-            .prompt_tokens
-            .map_or(f64::from(plain_tokens), |prompt| {
+        AllowanceUnit::Tokens { plain_tokens } => {
+            facts.prompt_tokens.map_or(f64::from(plain_tokens), |prompt| {
                 f64::from(prompt) + f64::from(facts.max_output_tokens)
-            }),
+            })
+        }
     }
 }
 
@@ -68,13 +68,7 @@
 
 impl Allowances {
     /// Takes a request's cost out of a customer's bucket.
-    pub fn take(
-        &mut self,
-        customer: u32,
-        allowance: Allowance,
-        cost: f64,
-        now: Instant,
-    ) -> Grant {
+    pub fn take(&mut self, customer: u32, allowance: Allowance, cost: f64, now: Instant) -> Grant {
         self.refill(customer, allowance, now);
         let Some(bucket) = self.buckets.get_mut(&customer) else { return Grant::Granted };
         let overdraft = allowance.per_second * OVERDRAFT_SECONDS;
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -286,10 +286,10 @@
             self.remember_session(part, instance, now);
         }
         let tracked = self.upstreams.get_mut(instance);
-        let (address, backlog_tokens) = tracked.map_or(
-            (SocketAddr::from(([0, 0, 0, 0], 0)), 0),
-            |tracked| tracked.begin(ticket, job.prompt_tokens, now),
-        );
+        let (address, backlog_tokens) = tracked
+            .map_or((SocketAddr::from(([0, 0, 0, 0], 0)), 0), |tracked| {
+                tracked.begin(ticket, job.prompt_tokens, now)
+            });
         Assignment {
             instance: instance.clone(),
             address,
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -18,6 +18,10 @@
 /// store is asked about once a second.
 const RETRY_WITHOUT_CONFIGURATION: Duration = Duration::from_millis(1_000);
 
+/// How long after the start of a planned stop requests are let in: the balancer turns away after two
+/// missed checks, a second apart.
+const ADMITTED_AT_STOP: Duration = Duration::from_millis(2_800);
+
 /// Part of the time left within which a caller still honours a time to come back.
 const HONOURED_SHARE: f64 = 1.0 / 3.0;
 
@@ -57,7 +61,9 @@
         let facts = self.dialect.read_request(&incoming.headers).map_err(|reason| {
             Refusal::not_run(ResultCode::MalformedRequest).with_message(reason)
         })?;
-        let without = || self.not_run(ResultCode::ConfigurationMissing, RETRY_WITHOUT_CONFIGURATION);
+        self.refuse_while_stopping(arrived)?;
+        let without =
+            || self.not_run(ResultCode::ConfigurationMissing, RETRY_WITHOUT_CONFIGURATION);
         let known = self.configuration().ok_or_else(without)?;
         let sure = self.honours_keys();
         let Some(route) = known.routes.find(&incoming.host, incoming.target.path()) else {
@@ -97,6 +103,17 @@
         })
     }
 
+    /// A stopping process still serves what comes before the balancer has turned away, and what it
+    /// can finish; later requests do better at another entry.
+    fn refuse_while_stopping(&self, arrived: Instant) -> Result<(), Refusal> {
+        let stopping = self.stopping_since.get();
+        if stopping.is_some_and(|since| arrived.saturating_duration_since(since) > ADMITTED_AT_STOP)
+        {
+            return Err(self.not_run(ResultCode::Draining, LEAST_RETRY_AFTER));
+        }
+        Ok(())
+    }
+
     fn take_allowance(
         &self,
         customer: Option<&Customer>,
--- a/components/gateway/src/shell/answer.rs
+++ b/components/gateway/src/shell/answer.rs
@@ -8,6 +8,7 @@
 use ntex::http::body::Body;
 use ntex::http::{Response, ResponseBuilder};
 
+use super::callers::OpenRequest;
 use super::relay::Relay;
 
 /// What goes back to the caller.
@@ -54,8 +55,9 @@
     }
 }
 
-/// Builds the response; `close` says that it is the connection's last.
-pub(super) fn build(delivery: Delivery, close: bool) -> Response<Body> {
+/// Builds the response; `close` says that it is the connection's last. `open` lives as long as
+/// there is something to send.
+pub(super) fn build(delivery: Delivery, close: bool, open: OpenRequest) -> Response<Body> {
     let (status, headers) = match &delivery {
         Delivery::Whole { status, headers, .. } | Delivery::Stream { status, headers, .. } => {
             (*status, headers)
@@ -68,7 +70,7 @@
     }
     match delivery {
         Delivery::Whole { body, .. } => builder.body(ntex::util::Bytes::copy_from_slice(&body)),
-        Delivery::Stream { relay, .. } => builder.streaming(relay.into_events()),
+        Delivery::Stream { relay, .. } => builder.streaming(relay.into_events(open)),
     }
 }
 
--- a/components/gateway/src/shell/callers.rs
+++ b/components/gateway/src/shell/callers.rs
@@ -10,7 +10,10 @@
 use ntex::SharedCfg;
 use ntex::http::body::Body;
 use ntex::http::error::HttpError;
+use ntex::http::h1::ProtocolError;
+use ntex::http::h1::control::{Control, ControlAck, Reason};
 use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response};
+use ntex::io::Filter;
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +21,7 @@
 
 use super::answer::{build, build_refusal};
 use super::hand_over::SharedRef;
+use super::relay::BrokenStream;
 use super::{exchange, head};
 
 /// The server's own time limits are wide; idle connections are closed here, by the limit of the
@@ -33,6 +37,10 @@
 /// Between probes of a silent caller.
 const CALLER_PROBE: Duration = Duration::from_secs(2);
 
+/// At a planned stop, a connection is closed when it has been idle for this long: the last answer
+/// must have left before.
+const IDLE_AT_STOP: Duration = Duration::from_millis(300);
+
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,23 +67,25 @@
     }
 }
 
-/// Marks a connection busy for as long as it lives.
-struct Busy {
+/// A request whose answer is not yet with the server as a whole; marks its connection busy.
+pub(super) struct OpenRequest {
     connected: Rc<Connected>,
     shared: SharedRef,
 }
 
-impl Busy {
-    fn new(connected: Rc<Connected>, shared: SharedRef) -> Busy {
+impl OpenRequest {
+    fn new(connected: Rc<Connected>, shared: SharedRef) -> OpenRequest {
         connected.busy.set(true);
-        Busy { connected, shared }
+        shared.open_requests.set(shared.open_requests.get() + 1);
+        OpenRequest { connected, shared }
     }
 }
 
-impl Drop for Busy {
+impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.connected.busy.set(false);
         self.connected.idle_since.set(self.shared.clock.now());
+        self.shared.open_requests.set(self.shared.open_requests.get().saturating_sub(1));
     }
 }
 
@@ -102,10 +112,8 @@
 async fn serve_connection(shared: SharedRef, stream: TcpStream) -> Result<()> {
     let _counted = Counted::new(&shared.open_connections);
     set_options(&stream);
-    let connected = Rc::new(Connected {
-        busy: Cell::new(false),
-        idle_since: Cell::new(shared.clock.now()),
-    });
+    let connected =
+        Rc::new(Connected { busy: Cell::new(false), idle_since: Cell::new(shared.clock.now()) });
     let service = fn_service({
         let (shared, connected) = (shared.clone(), connected.clone());
         move |request: Request| {
@@ -121,6 +129,7 @@
         )
         .into();
     let handler = HttpService::h1(service)
+        .control(fn_service(end_broken_stream))
         .create(configuration)
         .await
         .map_err(|()| anyhow::anyhow!("no server for the connection"))?;
@@ -137,6 +146,21 @@
     Ok(())
 }
 
+/// Ends the connection where a stream broke off; the server would write an error answer into the
+/// stream otherwise.
+async fn end_broken_stream<F: Filter>(
+    control: Control<F, HttpError>,
+) -> Result<ControlAck<F>, BrokenStream> {
+    match &control {
+        Control::Disconnect(Reason::ProtocolError(error))
+            if matches!(error.err(), ProtocolError::ResponsePayload(_)) =>
+        {
+            Err(BrokenStream)
+        }
+        _ => Ok(control.ack()),
+    }
+}
+
 fn configuration_of_io() -> SharedCfg {
     SharedCfg::new("callers").into()
 }
@@ -157,20 +181,21 @@
 async fn idle_too_long(shared: &SharedRef, connected: &Connected) {
     loop {
         let idle = shared.clock.now().saturating_duration_since(connected.idle_since.get());
-        let too_long = idle > shared.caller_limits().idle_timeout;
-        if !connected.busy.get() && (too_long || shared.callers_closing.get()) {
+        let closing = shared.callers_closing.get();
+        let longest = if closing { IDLE_AT_STOP } else { shared.caller_limits().idle_timeout };
+        if !connected.busy.get() && idle > longest {
             return;
         }
+        let pause = if closing { IDLE_AT_STOP } else { IDLE_POLL };
         tokio::select! {
-            () = tokio::time::sleep(IDLE_POLL) => {}
+            () = tokio::time::sleep(pause) => {}
             () = shared.callers_close.notified() => {}
         }
     }
 }
 
 async fn answer(shared: SharedRef, connected: Rc<Connected>, request: Request) -> Response<Body> {
-    let busy = Busy::new(connected, shared.clone());
-    let _counted = Counted::new(&shared.open_requests);
+    let open = OpenRequest::new(connected, shared.clone());
     let arrived = shared.clock.now();
     let limits = shared.caller_limits();
     let incoming = match head::read(request, limits.header_bytes, limits.body_bytes).await {
@@ -189,11 +214,11 @@
         Err(refusal) => (String::new(), None, Err(refusal)),
     };
     let elapsed = shared.clock.now().saturating_duration_since(arrived);
-    let close = shared.stopping.get();
-    let response = match served {
+    let close = shared.is_stopping();
+    match served {
         Ok(delivery) => {
             shared.metrics.count(tier, "delivered", elapsed);
-            build(delivery, close)
+            build(delivery, close, open)
         }
         Err(refusal) => {
             shared.metrics.count(tier, refusal.code.name(), elapsed);
@@ -209,7 +234,5 @@
             );
             build_refusal(&refusal, close)
         }
-    };
-    drop(busy);
-    response
+    }
 }
--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -75,7 +75,9 @@
         let step = hand_over(shared, &call, &mut seat, &tried).await;
         let (ended, spare) = match step {
             Step::Deliver(delivery) => return Ok(delivery),
-            Step::OutOfTime => return Err(Refusal::new(ResultCode::DeadlinePassed, Outcome::Unknown)),
+            Step::OutOfTime => {
+                return Err(Refusal::new(ResultCode::DeadlinePassed, Outcome::Unknown));
+            }
             Step::Ended(ended, spare) => (ended, spare),
         };
         if !matches!(ended, HandOver::NotSent | HandOver::Declined) {
@@ -238,7 +240,8 @@
             (Fallback::NotRun, _) if tried.used == 0 => {
                 self.give_back(call);
                 let left = call.time_left(self.clock.now());
-                Err(self.not_run(ResultCode::Overloaded, honoured(call.route.latency_objective, left)))
+                Err(self
+                    .not_run(ResultCode::Overloaded, honoured(call.route.latency_objective, left)))
             }
             _ => Err(may_have_run()),
         }
--- a/components/gateway/src/shell/hand_over.rs
+++ b/components/gateway/src/shell/hand_over.rs
@@ -73,12 +73,7 @@
         }
     }
 
-    async fn send_in_time(
-        &self,
-        call: &Call,
-        seat: &mut Seat,
-        resume_after: Option<u64>,
-    ) -> Began {
+    async fn send_in_time(&self, call: &Call, seat: &mut Seat, resume_after: Option<u64>) -> Began {
         let address = seat.assignment().address;
         let repeatable = call.route.kind.may_repeat();
         let longest_idle = if repeatable { IDLE_FOR_REPEATABLE } else { IDLE_FOR_ONCE };
@@ -93,7 +88,10 @@
             Ok(connection) => self.send_on(connection, call, seat, resume_after).await,
             Err(error) => {
                 let instance = &seat.assignment().instance;
-                warn!("upstream.unreachable id={} instance={instance} reason={error}", call.facts.attempt_id);
+                warn!(
+                    "upstream.unreachable id={} instance={instance} reason={error}",
+                    call.facts.attempt_id
+                );
                 seat.end(Ending::Unreachable);
                 Began::Ended(HandOver::NotSent)
             }
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -35,6 +35,9 @@
 /// turns away after two missed checks, a second apart.
 const IDLE_LINGER: Duration = Duration::from_millis(2_200);
 
+/// Shortest planned stop: requests are let in until shortly before.
+const LEAST_STOP: Duration = Duration::from_millis(3_200);
+
 /// How often a planned stop looks whether everything is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -133,9 +136,11 @@
                 self.shared.close_idle_callers();
             }
             let (open, connections) = self.shared.open_work();
-            if (elapsed >= IDLE_LINGER && open == 0 && connections == 0) || elapsed >= latest {
+            if (elapsed >= LEAST_STOP && open == 0) || elapsed >= latest {
                 let elapsed_ms = elapsed.as_millis();
-                info!("stop.end open_requests={open} connections={connections} after_ms={elapsed_ms}");
+                info!(
+                    "stop.end open_requests={open} connections={connections} after_ms={elapsed_ms}"
+                );
                 return;
             }
         }
--- a/components/gateway/src/shell/readiness.rs
+++ b/components/gateway/src/shell/readiness.rs
@@ -1,7 +1,5 @@
 //! Tells the balancer whether the process takes work.
 
-
-
 use log::warn;
 use ntex::SharedCfg;
 use ntex::http::error::HttpError;
--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::admission::Call;
+use super::callers::OpenRequest;
 use super::exchange::Tried;
 use super::hand_over::{Began, SharedRef, Started};
 use super::seat::Seat;
@@ -104,16 +105,17 @@
         }
     }
 
-    /// The events from the first one on.
+    /// The events from the first one on; `open` is held until the last.
     pub(super) fn into_events(
         self: Box<Self>,
+        open: OpenRequest,
     ) -> impl Stream<Item = Result<ntex::util::Bytes, BrokenStream>> + Unpin + 'static {
-        Box::pin(stream::unfold(Some(self), |relay| async move {
-            let mut relay = relay?;
+        Box::pin(stream::unfold(Some((self, open)), |relay| async move {
+            let (mut relay, open) = relay?;
             match relay.next().await {
                 Some(Ok(events)) => {
                     let events = ntex::util::Bytes::copy_from_slice(&events);
-                    Some((Ok(events), Some(relay)))
+                    Some((Ok(events), Some((relay, open))))
                 }
                 Some(Err(broken)) => Some((Err(broken), None)),
                 None => None,
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -63,7 +63,7 @@
     pub(super) peers: RefCell<Peers>,
     pub(super) callers_close: Notify,
     pub(super) callers_closing: Cell<bool>,
-    pub(super) stopping: Cell<bool>,
+    pub(super) stopping_since: Cell<Option<Instant>>,
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
     roster: RefCell<Roster>,
@@ -95,7 +95,7 @@
             peers: RefCell::default(),
             callers_close: Notify::new(),
             callers_closing: Cell::new(false),
-            stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             roster: RefCell::default(),
@@ -125,7 +125,7 @@
 
     /// Whether the process should get new connections.
     pub(super) fn is_ready(&self) -> bool {
-        let ready = !self.stopping.get()
+        let ready = !self.is_stopping()
             && self.configuration().is_some()
             && self.honours_keys()
             && !self.roster.borrow().usable().is_empty();
@@ -142,12 +142,16 @@
     }
 
     pub(super) fn begin_stop(&self) -> Duration {
-        self.stopping.set(true);
+        self.stopping_since.set(Some(self.clock.now()));
         let open = self.open_requests.get();
         info!("stop.begin open_requests={open}");
         self.settings.borrow().grace_period
     }
 
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
+    }
+
     pub(super) fn close_idle_callers(&self) {
         self.callers_closing.set(true);
         self.callers_close.notify_waiters();
@@ -261,7 +265,9 @@
         *self.in_force.borrow_mut() = Some(Rc::new(in_force));
         self.metrics.show_version(version);
         let customers = configuration.customers.len();
-        info!("configuration.changed version={version} before={before} routes={route_count} customers={customers}");
+        info!(
+            "configuration.changed version={version} before={before} routes={route_count} customers={customers}"
+        );
     }
 
     fn confirm(&self, asked_at: Duration) {
