Rank requests by route among customers of one tier, yield places between entries, cheapest first

Each entry gave the places that it freed to whatever waited there while more important requests waited elsewhere (digests waited 512 ms at p90). Within a kind, the few long requests held most places.

Change: the route's tier decides among customers of one tier; digests between entries carry what waits, and an entry leaves freed places to more important requests elsewhere, with digests hastened to 15 ms while requests wait; within a rank the cheapest goes first, and waiting makes it cheaper; the wait for a place is expected from what the request's own rank gets.

Conclusion: places are what binds in a burst; which requests get them is the lever.

--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -63,6 +63,10 @@
     Refused {
         /// When the bucket is expected to hold enough.
         retry_after: Duration,
+        /// What the bucket held.
+        level: f64,
+        /// Peers whose use is estimated.
+        silent_peers: usize,
     },
 }
 
@@ -75,7 +79,8 @@
         if bucket.level + overdraft < cost.min(allowance.burst) {
             let missing = cost.min(allowance.burst) - bucket.level;
             let retry_after = Duration::from_secs_f64(missing / allowance.per_second.max(1.0));
-            return Grant::Refused { retry_after };
+            let (level, silent_peers) = (bucket.level, self.silent_peers(now));
+            return Grant::Refused { retry_after, level, silent_peers };
         }
         bucket.level -= cost;
         bucket.granted += cost;
@@ -120,15 +125,16 @@
         self.buckets.iter().map(|(customer, bucket)| (*customer, bucket.granted))
     }
 
+    fn silent_peers(&self, now: Instant) -> usize {
+        let is_silent = |peer: &&Peer| now.saturating_duration_since(peer.heard_at) > PEER_SILENCE;
+        self.peers.values().filter(is_silent).count()
+    }
+
     /// Adds what the customer regained since the last call. A silent peer is taken to use an even
     /// share, since it still serves callers where only the path between entries is cut.
     fn refill(&mut self, customer: u32, allowance: Allowance, now: Instant) {
         let entries = self.peers.len() + 1;
-        let silent = self
-            .peers
-            .values()
-            .filter(|peer| now.saturating_duration_since(peer.heard_at) > PEER_SILENCE)
-            .count();
+        let silent = self.silent_peers(now);
         let heard_share = 1.0 - silent as f64 / entries as f64;
         let bucket = self.buckets.entry(customer).or_insert_with(|| Bucket {
             allowance,
--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -23,6 +23,14 @@
     pub resume_after: Option<u64>,
 }
 
+impl RequestFacts {
+    /// Output tokens that are expected: the caller's estimate within its limit.
+    pub fn expected_output_tokens(&self) -> u32 {
+        self.output_estimate
+            .map_or(self.max_output_tokens, |tokens| tokens.min(self.max_output_tokens))
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::allowance::PeerId;
-use crate::scheduler::Load;
+use crate::scheduler::{Load, Waiting};
 
 /// What an entry has in flight and has granted. Each digest stands alone, so that a lost one costs
 /// nothing but age.
@@ -19,6 +19,8 @@
     pub version: u64,
     /// Work in flight, by the short id of the upstream.
     pub loads: Vec<(u32, Load)>,
+    /// Requests that wait.
+    pub waiting: Vec<Waiting>,
     /// Units granted since the process started, by the short id of the customer.
     pub granted: Vec<(u32, f64)>,
 }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -9,19 +9,23 @@
 mod queue;
 mod speed;
 mod tracked;
+mod yielding;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::model::{InstanceId, Places, Upstream};
 use queue::Queue;
 use tracked::Tracked;
+use yielding::{Owed, service_id};
 
 pub use tracked::Load;
+pub use yielding::Waiting;
 
 /// How long a place of a prompt's last part is remembered; engines drop unused parts after about as
 /// long under load.
@@ -30,15 +34,27 @@
 /// Most remembered places.
 const AFFINITY_ENTRIES: usize = 4_096;
 
+/// How important a request is; the least is the most important. A customer's own tier goes before
+/// its route's, which decides among requests of customers with the same tier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Rank {
+    /// The tier that counts.
+    pub tier: u8,
+    /// The route's tier.
+    pub route_tier: u8,
+}
+
 /// What the scheduler needs to know of a request.
 #[derive(Debug, Clone)]
 pub struct Job {
     /// The service that serves it.
     pub service: String,
-    /// Its rank; 0 is the highest.
-    pub tier: u8,
+    /// How important it is.
+    pub rank: Rank,
     /// Tokens of its prompt; 0 for a plain service.
     pub prompt_tokens: u32,
+    /// Output tokens that are expected; 0 for a plain service.
+    pub output_tokens: u32,
     /// The last part of its prompt, which the request's session shares.
     pub session_part: Option<u64>,
     /// When it came.
@@ -129,6 +145,7 @@
     places: Places,
     upstreams: HashMap<InstanceId, Tracked>,
     queue: Queue,
+    owed: Owed,
     sessions: HashMap<u64, (InstanceId, Instant)>,
     next_ticket: u64,
     rng: ChaCha8Rng,
@@ -141,6 +158,7 @@
             places,
             upstreams: HashMap::new(),
             queue: Queue::default(),
+            owed: Owed::default(),
             sessions: HashMap::new(),
             next_ticket: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -177,8 +195,15 @@
         freed
     }
 
-    /// Takes in what a peer has in flight; replaces what it said before.
-    pub fn hear_peer(&mut self, peer: u64, loads: &HashMap<u32, Load>) {
+    /// Takes in what a peer has in flight and what waits there; replaces what it said before.
+    pub fn hear_peer(
+        &mut self,
+        peer: u64,
+        loads: &HashMap<u32, Load>,
+        waiting: &[Waiting],
+        entries: usize,
+    ) {
+        self.owed.hear(peer, waiting, entries);
         for tracked in self.upstreams.values_mut() {
             match loads.get(&tracked.short_id) {
                 Some(load) => tracked.peers.insert(peer, *load),
@@ -189,6 +214,7 @@
 
     /// Forgets what peers that are gone had in flight.
     pub fn keep_peers(&mut self, is_member: impl Fn(u64) -> bool) {
+        self.owed.keep_peers(&is_member);
         for tracked in self.upstreams.values_mut() {
             tracked.peers.retain(|peer, _| is_member(*peer));
         }
@@ -200,6 +226,25 @@
         busy.map(|tracked| (tracked.short_id, tracked.own))
     }
 
+    /// A line for each upstream that is in use, for logs: own and all requests in flight, prompt
+    /// tokens that wait, and the time expected until a first event.
+    pub fn describe(&self) -> String {
+        let mut used: Vec<&Tracked> =
+            self.upstreams.values().filter(|tracked| tracked.running() > 0).collect();
+        used.sort_by(|a, b| a.upstream.instance.cmp(&b.upstream.instance));
+        let describe = |tracked: &&Tracked| {
+            format!(
+                "{}:{}/{}/{}/{:.0}",
+                tracked.upstream.instance,
+                tracked.own.running,
+                tracked.running(),
+                tracked.backlog_tokens(),
+                tracked.speed.expect_ms(tracked.backlog_tokens()),
+            )
+        };
+        used.iter().map(describe).collect::<Vec<_>>().join(",")
+    }
+
     /// Whether any upstream of a service is known.
     pub fn knows_service(&self, service: &str) -> bool {
         self.upstreams.values().any(|tracked| tracked.upstream.service == service)
@@ -211,8 +256,8 @@
             let retry_after = place::RETRY_WITHOUT_UPSTREAM;
             return Offer::Refuse(Refused { reason: RefusedBecause::NoUpstream, retry_after });
         }
-        if !self.queue.has_ahead(&job)
-            && let Some(instance) = self.choose(&job, now)
+        if !self.queue.has_ahead(&job, now)
+            && let Some(instance) = self.find(&job, now)
         {
             return Offer::Place(self.assign(&instance, &job, now));
         }
@@ -233,7 +278,7 @@
                 let retry_after = self.queue.expected_wait(&job, now);
                 let refused = Refused { reason: RefusedBecause::Full, retry_after };
                 woken.push(Woken::Refuse(waiter, refused));
-            } else if let Some(instance) = self.choose(&job, now) {
+            } else if let Some(instance) = self.find(&job, now) {
                 self.queue.remove(waiter);
                 let assignment = self.assign(&instance, &job, now);
                 woken.push(Woken::Place(waiter, assignment));
@@ -247,6 +292,23 @@
         self.queue.remove(waiter);
     }
 
+    /// What waits here, for the other entries.
+    pub fn own_waiting(&self) -> Vec<Waiting> {
+        let counts = self.queue.counts();
+        let describe = |((service, rank), count): (&(&str, Rank), &u32)| Waiting {
+            service: service_id(service),
+            rank: *rank,
+            count: *count,
+        };
+        counts.iter().map(describe).collect()
+    }
+
+    /// Whether requests wait, here or at another entry, so that entries should tell each other of
+    /// changes at once.
+    pub fn is_contended(&self) -> bool {
+        self.queue.len() > 0 || self.owed.is_any()
+    }
+
     /// How many requests wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
@@ -273,13 +335,24 @@
         if let Some(tracked) = self.upstreams.get_mut(&assignment.instance) {
             tracked.leave_backlog(assignment);
             tracked.end(assignment.ticket, ending, now);
-            if ending == Ending::Served {
-                self.queue.count_served(&tracked.upstream.service, now);
+        }
+    }
+
+    /// A place that is not owed to something more important at another entry.
+    fn find(&mut self, job: &Job, now: Instant) -> Option<InstanceId> {
+        let instance = self.choose(job, now)?;
+        let draw = self.rng.random();
+        if self.owed.take(&job.service, job.rank, draw) {
+            if let Some(tracked) = self.upstreams.get_mut(&instance) {
+                tracked.leave_place(now);
             }
+            return None;
         }
+        Some(instance)
     }
 
     fn assign(&mut self, instance: &InstanceId, job: &Job, now: Instant) -> Assignment {
+        self.queue.count_placed(&job.service, job.rank, now);
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         if let Some(part) = job.session_part {
--- a/components/gateway/src/scheduler/place.rs
+++ b/components/gateway/src/scheduler/place.rs
@@ -44,7 +44,7 @@
             if tracked.upstream.service != job.service
                 || tracked.upstream.draining
                 || job.excluded.contains(instance)
-                || tracked.running() >= tracked.upstream.slots
+                || !tracked.has_place(now)
             {
                 continue;
             }
--- a/components/gateway/src/scheduler/tracked.rs
+++ b/components/gateway/src/scheduler/tracked.rs
@@ -24,6 +24,9 @@
 /// An upstream is suspect when a request is this old and nothing at all was heard since.
 const SILENCE: Duration = Duration::from_millis(700);
 
+/// How long a place is left to another entry: until it has heard of it and its next digest is here.
+const LEFT_FOR: Duration = Duration::from_millis(60);
+
 /// Work in flight at an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -45,6 +48,7 @@
     unreachable: u32,
     paused_until: Option<Instant>,
     tickets: HashMap<u64, Instant>,
+    left_until: Vec<Instant>,
 }
 
 /// Names an upstream's lifetime between entries, in four bytes.
@@ -66,6 +70,7 @@
             unreachable: 0,
             paused_until: None,
             tickets: HashMap::new(),
+            left_until: Vec::new(),
         }
     }
 
@@ -80,6 +85,18 @@
         self.own.running + self.peers.values().map(|load| load.running).sum::<u32>()
     }
 
+    /// Whether a place is free and not left to another entry.
+    pub(super) fn has_place(&self, now: Instant) -> bool {
+        let left = self.left_until.iter().filter(|until| now < **until).count() as u32;
+        self.running() + left < self.upstream.slots
+    }
+
+    /// Leaves a free place to another entry for a short time.
+    pub(super) fn leave_place(&mut self, now: Instant) {
+        self.left_until.retain(|until| now < *until);
+        self.left_until.push(now + LEFT_FOR);
+    }
+
     /// Prompt tokens that all entries wait for.
     pub(super) fn backlog_tokens(&self) -> u64 {
         let peers: u64 = self.peers.values().map(|load| u64::from(load.backlog_tokens)).sum();
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use errors::{Refusal, ResultCode};
 use http::{HeaderMap, Method, Uri};
+use log::info;
 use rand::Rng;
 
 use super::head::Incoming;
@@ -13,6 +14,7 @@
 use crate::allowance::{Grant, cost};
 use crate::model::{Customer, RequestFacts, Route};
 use crate::routes::pick_target;
+use crate::scheduler::Rank;
 
 /// When to come back to a process that doesn't know the configuration, or isn't sure of it: the
 /// store is asked about once a second.
@@ -41,7 +43,7 @@
     pub(super) route: Rc<Route>,
     pub(super) service: String,
     pub(super) customer: Option<Rc<Customer>>,
-    pub(super) tier: u8,
+    pub(super) rank: Rank,
     pub(super) arrived: Instant,
     /// When the caller's patience or the route's timeout ends.
     pub(super) limit_at: Instant,
@@ -86,6 +88,7 @@
             .to_owned();
         let taken = self.take_allowance(customer.as_deref(), &facts, limit_at)?;
         let tier = customer.as_ref().and_then(|customer| customer.tier).unwrap_or(route.tier);
+        let rank = Rank { tier, route_tier: route.tier };
         let Incoming { method, target, headers, body, .. } = incoming;
         Ok(Call {
             method,
@@ -96,7 +99,7 @@
             route,
             service,
             customer,
-            tier,
+            rank,
             arrived,
             limit_at,
             taken,
@@ -130,7 +133,11 @@
         let id = customer_id(&customer.name);
         match self.allowances.borrow_mut().take(id, allowance, cost, now) {
             Grant::Granted => Ok(cost),
-            Grant::Refused { retry_after } => {
+            Grant::Refused { retry_after, level, silent_peers } => {
+                info!(
+                    "allowance.refused id={} customer={} cost={cost} level={level:.0} per_second={:.0} silent_peers={silent_peers}",
+                    facts.attempt_id, customer.name, allowance.per_second,
+                );
                 let left = limit_at.saturating_duration_since(now);
                 let wait = honoured(retry_after, left);
                 Err(self.not_run(ResultCode::LimitReached, wait))
@@ -154,6 +161,11 @@
 
 /// The time to come back that is nearest to `wait` and that a caller with `left` still honours.
 pub(super) fn honoured(wait: Duration, left: Duration) -> Duration {
-    let longest = left.mul_f64(HONOURED_SHARE / (1.0 + RETRY_SPREAD / 2.0));
-    wait.max(LEAST_RETRY_AFTER).min(longest)
+    wait.max(LEAST_RETRY_AFTER).min(longest_honoured(left))
+}
+
+/// The longest time to come back that a caller with `left` still honours. A refused request has
+/// missed its objective; what counts then is that it finds a place at its next try.
+pub(super) fn longest_honoured(left: Duration) -> Duration {
+    left.mul_f64(HONOURED_SHARE / (1.0 + RETRY_SPREAD / 2.0))
 }
--- a/components/gateway/src/shell/callers.rs
+++ b/components/gateway/src/shell/callers.rs
@@ -208,7 +208,7 @@
     let admitted = shared.admit(incoming, arrived);
     let (id, tier, served) = match admitted {
         Ok(call) => {
-            let (id, tier) = (call.facts.attempt_id.clone(), call.tier);
+            let (id, tier) = (call.facts.attempt_id.clone(), call.rank.route_tier);
             (id, Some(tier), exchange::serve(&shared, call).await)
         }
         Err(refusal) => (String::new(), None, Err(refusal)),
--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -6,7 +6,7 @@
 use errors::{Outcome, Refusal, ResultCode};
 use log::info;
 
-use super::admission::{Call, honoured};
+use super::admission::{Call, honoured, longest_honoured};
 use super::answer::Delivery;
 use super::hand_over::{Began, SharedRef, Started, read_body};
 use super::relay::{Relay, RelayStart};
@@ -20,11 +20,10 @@
 /// at once is likely to be good, a fourth is not.
 const MOST_HAND_OVERS: u32 = 4;
 
-/// Longest that a request waits for a place, in multiples of its route's objective.
-const WAIT_OBJECTIVES: f64 = 2.5;
-
-/// Longest that a stream waits for a place: its caller gives up after two seconds without an event.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_700);
+/// Longest that a request waits for a place. Callers of streams give up after two seconds without an
+/// event; those of plain services after a second or so.
+const LONGEST_STREAM_WAIT: Duration = Duration::from_millis(1_800);
+const LONGEST_PLAIN_WAIT: Duration = Duration::from_millis(800);
 
 /// Least time left for which a hand-over is worth its while.
 const LEAST_TIME: Duration = Duration::from_millis(10);
@@ -131,23 +130,28 @@
     match waited {
         Ok(assignment) => Ok(Seat::new(shared.clone(), assignment)),
         Err(refused) => {
-            let code = match refused.reason {
-                RefusedBecause::NoUpstream => ResultCode::NoUpstream,
-                RefusedBecause::Full => ResultCode::Overloaded,
-            };
-            let wait = honoured(refused.retry_after, call.time_left(now));
-            Err(shared.not_run(code, wait))
+            let left = call.time_left(now);
+            Err(match refused.reason {
+                RefusedBecause::NoUpstream => {
+                    shared.not_run(ResultCode::NoUpstream, honoured(refused.retry_after, left))
+                }
+                RefusedBecause::Full => {
+                    shared.not_run(ResultCode::Overloaded, longest_honoured(left))
+                }
+            })
         }
     }
 }
 
 fn job(call: &Call, tried: &Tried) -> Job {
     let objective = call.route.latency_objective;
-    let longest = objective.mul_f64(WAIT_OBJECTIVES).min(LONGEST_WAIT);
+    let longest =
+        if call.route.kind.is_stream() { LONGEST_STREAM_WAIT } else { LONGEST_PLAIN_WAIT };
     Job {
         service: call.service.clone(),
-        tier: call.tier,
+        rank: call.rank,
         prompt_tokens: call.facts.prompt_tokens.unwrap_or(0),
+        output_tokens: call.facts.expected_output_tokens(),
         session_part: call.facts.prompt_parts.last().map(|part| part.id),
         arrived: call.arrived,
         objective_at: call.arrived + objective,
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -44,6 +44,9 @@
 /// How often beliefs that change with time alone are looked at.
 const SETTLE_PERIOD: Duration = Duration::from_millis(100);
 
+/// Rounds of `SETTLE_PERIOD` between two log lines on the load.
+const LOAD_LINE_ROUNDS: u32 = 10;
+
 /// What the adapter of a platform tells the gateway.
 pub trait Directory {
     /// The store holds this configuration. `asked_at` is the uptime at which it was asked.
@@ -106,9 +109,12 @@
 }
 
 async fn settle_regularly(shared: Rc<Shared>) {
-    loop {
+    for round in 1_u32.. {
         tokio::time::sleep(SETTLE_PERIOD).await;
         shared.settle();
+        if round % LOAD_LINE_ROUNDS == 0 {
+            shared.log_load();
+        }
     }
 }
 
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -15,6 +15,10 @@
 /// Between digests. Placement tolerates this age: an entry places some ten requests meanwhile.
 const DIGEST_PERIOD: Duration = Duration::from_millis(100);
 
+/// Between digests while requests wait somewhere: a place that one entry frees should not stand
+/// empty for long before another takes it.
+const HASTENED_PERIOD: Duration = Duration::from_millis(15);
+
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -34,6 +38,11 @@
                 sequence += 1;
                 send(&shared, &socket, sequence).await;
             }
+            () = changed_under_contention(&shared) => {
+                sequence += 1;
+                send(&shared, &socket, sequence).await;
+                timer.reset();
+            }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => shared.hear(&buffer[..length], from),
                 Err(error) => debug!("digest.receive error={error}"),
@@ -42,6 +51,12 @@
     }
 }
 
+/// Ends when places or waiting requests have changed while requests wait somewhere.
+async fn changed_under_contention(shared: &Shared) {
+    shared.load_changed.notified().await;
+    tokio::time::sleep(HASTENED_PERIOD).await;
+}
+
 async fn send(shared: &Shared, socket: &UdpSocket, sequence: u32) {
     let addresses: Vec<SocketAddr> = shared.peers.borrow().addresses().collect();
     if addresses.is_empty() {
@@ -68,6 +83,7 @@
             sequence,
             version: self.configuration().map_or(0, |known| known.version),
             loads: self.scheduler.borrow().own_loads().collect(),
+            waiting: self.scheduler.borrow().own_waiting(),
             granted: self.allowances.borrow().granted().collect(),
         }
     }
@@ -84,8 +100,10 @@
         if !self.peers.borrow_mut().accept(digest.from, digest.sequence, now) {
             return;
         }
+        let entries = self.peers.borrow().entries();
         let loads: HashMap<_, _> = digest.loads.into_iter().collect();
-        self.scheduler.borrow_mut().hear_peer(digest.from, &loads);
+        let waiting = &digest.waiting;
+        self.scheduler.borrow_mut().hear_peer(digest.from, &loads, waiting, entries);
         self.allowances.borrow_mut().hear_peer(digest.from, &digest.granted, now);
         self.wake_waiters(now);
     }
--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -2,12 +2,13 @@
 
 use std::fmt;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::stream;
 use http_body_util::BodyExt;
-use log::{info, warn};
+use log::info;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::admission::Call;
@@ -17,7 +18,7 @@
 use super::seat::Seat;
 use crate::events::{EventSplitter, last_event_id};
 use crate::outcome::HandOver;
-use crate::scheduler::{Ending, Job};
+use crate::scheduler::{Ending, Job, Rank};
 
 /// A stream that is being passed on. Dropping it closes the connection to the upstream.
 pub(super) struct Relay {
@@ -30,6 +31,7 @@
     first: Option<Bytes>,
     tried: Tried,
     events: u64,
+    first_at: Instant,
 }
 
 /// How a stream began.
@@ -71,6 +73,7 @@
         source: Started,
         tried: &Tried,
     ) -> RelayStart {
+        let now = shared.clock.now();
         let mut relay = Box::new(Relay {
             last_id: call.facts.resume_after,
             shared,
@@ -85,10 +88,12 @@
                 used: tried.used + 1,
             },
             events: 0,
+            first_at: now,
         });
         match relay.read().await {
             Read::Events(events) => {
                 relay.seat.first_event();
+                relay.first_at = relay.shared.clock.now();
                 relay.first = Some(events);
                 RelayStart::Events(relay)
             }
@@ -137,17 +142,14 @@
                 }
                 Read::Broken(reason) => reason,
                 Read::OutOfTime => {
-                    info!(
-                        "stream.timeout id={} events={}",
-                        self.call.facts.attempt_id, self.events
-                    );
+                    self.log_end("timeout");
                     return Some(Err(BrokenStream));
                 }
             };
             self.source = None;
             self.shared.note_failure(&self.call, &mut self.seat, &reason);
             if !self.resume().await {
-                warn!("stream.broken id={} events={}", self.call.facts.attempt_id, self.events);
+                self.log_end("broken");
                 return Some(Err(BrokenStream));
             }
         }
@@ -181,6 +183,27 @@
             self.shared.keep(&self.seat, source.connection, &source.facts);
         }
         self.seat.end(Ending::Served);
+        self.log_end("whole");
+    }
+
+    fn log_end(&self, outcome: &str) {
+        let now = self.shared.clock.now();
+        let since = |at: Instant| at.saturating_duration_since(self.call.arrived).as_millis();
+        info!(
+            "stream.end id={} instance={} outcome={outcome} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} hand_overs={} placed_ms={} first_ms={} end_ms={} pieces={}",
+            self.call.facts.attempt_id,
+            self.seat.assignment().instance,
+            self.call.rank.tier,
+            self.call.rank.route_tier,
+            self.call.facts.prompt_tokens.unwrap_or(0),
+            self.call.facts.max_output_tokens,
+            self.call.facts.output_estimate.unwrap_or(0),
+            self.tried.hand_overs,
+            since(self.seat.assignment().at),
+            since(self.first_at),
+            since(now),
+            self.events,
+        );
     }
 
     /// Goes on at another upstream after the last whole event.
@@ -221,8 +244,9 @@
         let now = self.shared.clock.now();
         Job {
             service: self.call.service.clone(),
-            tier: 0,
+            rank: Rank { tier: 0, route_tier: 0 },
             prompt_tokens: self.call.facts.prompt_tokens.unwrap_or(0),
+            output_tokens: self.call.facts.expected_output_tokens(),
             session_part: None,
             arrived: self.call.arrived,
             objective_at: now,
--- a/components/gateway/src/shell/seat.rs
+++ b/components/gateway/src/shell/seat.rs
@@ -47,6 +47,7 @@
         let now = self.shared.clock.now();
         self.shared.scheduler.borrow_mut().ended(&mut self.assignment, ending, now);
         self.shared.wake_waiters(now);
+        self.shared.note_load_change();
     }
 }
 
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -61,6 +61,7 @@
     pub(super) allowances: RefCell<Allowances>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) peers: RefCell<Peers>,
+    pub(super) load_changed: Notify,
     pub(super) callers_close: Notify,
     pub(super) callers_closing: Cell<bool>,
     pub(super) stopping_since: Cell<Option<Instant>>,
@@ -93,6 +94,7 @@
             freshness: Cell::default(),
             allowances: RefCell::default(),
             peers: RefCell::default(),
+            load_changed: Notify::new(),
             callers_close: Notify::new(),
             callers_closing: Cell::new(false),
             stopping_since: Cell::new(None),
@@ -177,10 +179,21 @@
         self.is_ready();
     }
 
+    /// Logs what placement goes by.
+    pub(super) fn log_load(&self) {
+        let (open, connections) = self.open_work();
+        let scheduler = self.scheduler.borrow();
+        let waiting = scheduler.waiting();
+        let upstreams = scheduler.describe();
+        info!("load open={open} connections={connections} waiting={waiting} upstreams={upstreams}");
+    }
+
     /// Offers a request to the scheduler; the receiver gets its place where it has to wait.
     pub(super) fn offer(&self, job: crate::scheduler::Job) -> Result<Assignment, Waiting> {
         let now = self.clock.now();
-        match self.scheduler.borrow_mut().offer(job, now) {
+        let offer = self.scheduler.borrow_mut().offer(job, now);
+        self.note_load_change();
+        match offer {
             Offer::Place(assignment) => Ok(assignment),
             Offer::Refuse(refused) => Err(Waiting::Refused(refused)),
             Offer::Wait(waiter) => {
@@ -191,6 +204,13 @@
         }
     }
 
+    /// Tells the other entries of a change at once where requests wait somewhere.
+    pub(super) fn note_load_change(&self) {
+        if self.scheduler.borrow().is_contended() {
+            self.load_changed.notify_one();
+        }
+    }
+
     /// Takes a request out of the queue whose caller is gone.
     pub(super) fn withdraw_waiter(&self, waiter: WaiterId) {
         if self.waiters.borrow_mut().remove(&waiter).is_some() {
