Grant allowances by the operators' window, and leave a replaced instance alone

Requests larger than the level were never granted in a shortage.

Change: half of the burst is held, the rest is granted evenly over the window; levels approach in 5 s; a quarter of the slack may be overdrawn by one request; an instance that answers for another is not used again.

--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -3,16 +3,24 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::model::{Allowance, AllowanceUnit, RequestFacts};
 
-/// Part of its burst that a bucket holds when a process meets the customer. Entries that were all
-/// restarted would else grant the burst twice within one window.
-const INITIAL_FILL: f64 = 0.25;
+/// Part of its burst that a bucket holds when a process meets the customer, and at most. What is left
+/// of the burst is granted evenly over the operators' window, so that the window's total is the
+/// allowance's.
+const HELD_BURST: f64 = 0.5;
+
+/// Time in which a bucket moves most of the way to a peer's level. Entries start with different
+/// levels and miss what was granted before they heard of each other. A peer's level does not yet show
+/// what this entry granted last, so a faster approach would hand those units out again.
+const LEVEL_APPROACH: Duration = Duration::from_secs(5);
 
-/// Part of a second's allowance by which a bucket may be overdrawn: what other entries grant is
-/// known a digest later, and a refusal within the allowance costs more than a small excess, which
-/// the operators' overshoot covers.
-const OVERDRAFT_SECONDS: f64 = 0.1;
+/// Part of the operators' slack by which a bucket may be overdrawn. Requests larger than what is left
+/// would never be granted in a shortage otherwise; the rest of the slack covers what entries grant
+/// before they hear of each other.
+const OVERDRAFT_SHARE: f64 = 0.25;
 
 /// Silence of a peer after which its use is estimated instead of heard; several digests long.
 const PEER_SILENCE: Duration = Duration::from_millis(1_000);
@@ -32,6 +40,17 @@
     }
 }
 
+/// What an entry says of a customer's bucket.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Granted {
+    /// The short id of the customer.
+    pub customer: u32,
+    /// Units granted since the process started.
+    pub total: f64,
+    /// Units that the bucket held.
+    pub level: f64,
+}
+
 #[derive(Debug)]
 struct Bucket {
     allowance: Allowance,
@@ -40,9 +59,17 @@
     granted: f64,
 }
 
+impl Bucket {
+    fn approach(&mut self, level: f64, gain: f64) {
+        self.level += gain * (level - self.level);
+    }
+}
+
 #[derive(Debug)]
 struct Peer {
     heard_at: Instant,
+    /// Whether any digest came; what the first one says was granted before this process knew.
+    heard: bool,
     granted: HashMap<u32, f64>,
 }
 
@@ -54,6 +81,15 @@
     peers: HashMap<PeerId, Peer>,
 }
 
+/// How exactly an allowance has to be kept.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// The span over which use is counted.
+    pub window: Duration,
+    /// Units over the allowance that are tolerated in a window.
+    pub slack: f64,
+}
+
 /// Whether a request is within its customer's allowance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Grant {
@@ -71,13 +107,21 @@
 }
 
 impl Allowances {
-    /// Takes a request's cost out of a customer's bucket.
-    pub fn take(&mut self, customer: u32, allowance: Allowance, cost: f64, now: Instant) -> Grant {
-        self.refill(customer, allowance, now);
+    /// Takes a request's cost out of a customer's bucket. `tolerance` is what the operators
+    /// allow beside it.
+    pub fn take(
+        &mut self,
+        customer: u32,
+        allowance: Allowance,
+        cost: f64,
+        tolerance: Tolerance,
+        now: Instant,
+    ) -> Grant {
+        self.refill(customer, allowance, tolerance, now);
         let Some(bucket) = self.buckets.get_mut(&customer) else { return Grant::Granted };
-        let overdraft = allowance.per_second * OVERDRAFT_SECONDS;
+        let overdraft = if bucket.level > 0.0 { tolerance.slack * OVERDRAFT_SHARE } else { 0.0 };
         if bucket.level + overdraft < cost.min(allowance.burst) {
-            let missing = cost.min(allowance.burst) - bucket.level;
+            let missing = cost - bucket.level;
             let retry_after = Duration::from_secs_f64(missing / allowance.per_second.max(1.0));
             let (level, silent_peers) = (bucket.level, self.silent_peers(now));
             return Grant::Refused { retry_after, level, silent_peers };
@@ -96,18 +140,24 @@
     }
 
     /// Takes in what a peer has granted since it started.
-    pub fn hear_peer(&mut self, peer: PeerId, granted: &[(u32, f64)], now: Instant) {
-        let known = self
-            .peers
-            .entry(peer)
-            .or_insert_with(|| Peer { heard_at: now, granted: HashMap::new() });
+    pub fn hear_peer(&mut self, peer: PeerId, heard: &[Granted], now: Instant) {
+        let known = self.peers.entry(peer).or_insert_with(|| Peer {
+            heard_at: now,
+            heard: false,
+            granted: HashMap::new(),
+        });
+        let since = now.saturating_duration_since(known.heard_at);
+        let gain = 1.0 - (-since.as_secs_f64() / LEVEL_APPROACH.as_secs_f64()).exp();
         known.heard_at = now;
-        for &(customer, total) in granted {
-            let before = known.granted.insert(customer, total).unwrap_or(total);
+        for &Granted { customer, total, level } in heard {
+            let unheard = if known.heard { 0.0 } else { total };
+            let before = known.granted.insert(customer, total).unwrap_or(unheard);
             if let Some(bucket) = self.buckets.get_mut(&customer) {
                 bucket.level -= total - before;
+                bucket.approach(level, gain);
             }
         }
+        known.heard = true;
     }
 
     /// Forgets peers that are no longer members.
@@ -117,12 +167,20 @@
 
     /// Counts a member from which nothing was heard yet.
     pub fn expect_peer(&mut self, peer: PeerId, now: Instant) {
-        self.peers.entry(peer).or_insert_with(|| Peer { heard_at: now, granted: HashMap::new() });
+        self.peers.entry(peer).or_insert_with(|| Peer {
+            heard_at: now,
+            heard: false,
+            granted: HashMap::new(),
+        });
     }
 
     /// What this process has granted since it started, by customer.
-    pub fn granted(&self) -> impl Iterator<Item = (u32, f64)> + '_ {
-        self.buckets.iter().map(|(customer, bucket)| (*customer, bucket.granted))
+    pub fn granted(&self) -> impl Iterator<Item = Granted> + '_ {
+        self.buckets.iter().map(|(customer, bucket)| Granted {
+            customer: *customer,
+            total: bucket.granted,
+            level: bucket.level,
+        })
     }
 
     fn silent_peers(&self, now: Instant) -> usize {
@@ -132,20 +190,21 @@
 
     /// Adds what the customer regained since the last call. A silent peer is taken to use an even
     /// share, since it still serves callers where only the path between entries is cut.
-    fn refill(&mut self, customer: u32, allowance: Allowance, now: Instant) {
+    fn refill(&mut self, customer: u32, allowance: Allowance, tolerance: Tolerance, now: Instant) {
         let entries = self.peers.len() + 1;
         let silent = self.silent_peers(now);
         let heard_share = 1.0 - silent as f64 / entries as f64;
         let bucket = self.buckets.entry(customer).or_insert_with(|| Bucket {
             allowance,
-            level: allowance.burst * INITIAL_FILL,
+            level: allowance.burst * HELD_BURST,
             filled_at: now,
             granted: 0.0,
         });
         let elapsed = now.saturating_duration_since(bucket.filled_at).as_secs_f64();
         bucket.filled_at = now;
         bucket.allowance = allowance;
-        let gained = elapsed * allowance.per_second * heard_share;
-        bucket.level = (bucket.level + gained).min(allowance.burst);
+        let per_second = allowance.per_second + allowance.burst / tolerance.window.as_secs_f64();
+        let gained = elapsed * per_second * heard_share;
+        bucket.level = (bucket.level + gained).min(allowance.burst * HELD_BURST);
     }
 }
--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -49,6 +49,8 @@
     pub signed: bool,
     /// Whether the upstream says that it did not run the request and never will.
     pub not_run: bool,
+    /// Whether it did not because another instance has the address now.
+    pub other_instance: bool,
     /// Whether the connection may carry another request.
     pub keep_connection: bool,
     /// How long the upstream keeps an idle connection.
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::allowance::PeerId;
+use crate::allowance::{Granted, PeerId};
 use crate::scheduler::{Load, Waiting};
 
 /// What an entry has in flight and has granted. Each digest stands alone, so that a lost one costs
@@ -21,8 +21,8 @@
     pub loads: Vec<(u32, Load)>,
     /// Requests that wait.
     pub waiting: Vec<Waiting>,
-    /// Units granted since the process started, by the short id of the customer.
-    pub granted: Vec<(u32, f64)>,
+    /// What it says of customers' allowances.
+    pub granted: Vec<Granted>,
 }
 
 /// The bytes are no digest.
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -122,8 +122,10 @@
     Served,
     /// With a failure of the upstream.
     Failed,
-    /// The upstream declined it.
+    /// The upstream declined it: it has no place.
     Declined,
+    /// Another instance has the upstream's address.
+    Replaced,
     /// The upstream could not be reached.
     Unreachable,
     /// The caller left or its time ran out.
--- a/components/gateway/src/scheduler/place.rs
+++ b/components/gateway/src/scheduler/place.rs
@@ -43,6 +43,7 @@
         for (instance, tracked) in &self.upstreams {
             if tracked.upstream.service != job.service
                 || tracked.upstream.draining
+                || tracked.is_gone()
                 || job.excluded.contains(instance)
                 || !tracked.has_place(now)
             {
--- a/components/gateway/src/scheduler/tracked.rs
+++ b/components/gateway/src/scheduler/tracked.rs
@@ -18,6 +18,9 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Pause after an upstream had no place: a step or two of its batch.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
 /// What one ending leaves of the failure rate before it: about the last ten count.
 const FAILURE_MEMORY: f64 = 0.9;
 
@@ -49,6 +52,7 @@
     paused_until: Option<Instant>,
     tickets: HashMap<u64, Instant>,
     left_until: Vec<Instant>,
+    is_gone: bool,
 }
 
 /// Names an upstream's lifetime between entries, in four bytes.
@@ -71,6 +75,7 @@
             paused_until: None,
             tickets: HashMap::new(),
             left_until: Vec::new(),
+            is_gone: false,
         }
     }
 
@@ -107,6 +112,11 @@
         self.failure_rate
     }
 
+    /// Whether its address belongs to another instance; its announcement lapses in a few seconds.
+    pub(super) fn is_gone(&self) -> bool {
+        self.is_gone
+    }
+
     /// Whether it is left alone after it could not be reached.
     pub(super) fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
@@ -156,7 +166,9 @@
             Ending::Served => self.take_success(),
             Ending::Failed => self.failure_rate = self.failure_rate * FAILURE_MEMORY + 0.1,
             Ending::Unreachable => self.pause(now),
-            Ending::Declined | Ending::Abandoned => {}
+            Ending::Declined => self.paused_until = Some(now + FULL_PAUSE),
+            Ending::Replaced => self.is_gone = true,
+            Ending::Abandoned => {}
         }
     }
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::allowance::Tolerance;
 use crate::budget::RetryLimit;
 use crate::model::Places;
 
@@ -21,6 +22,8 @@
     pub places: Places,
     /// The limit on repeats.
     pub retry_limit: RetryLimit,
+    /// How exactly customers' allowances have to be kept.
+    pub allowance_tolerance: Tolerance,
     /// How long after the last confirmation of the configuration keys are honoured; `None` for as
     /// long as the process runs.
     pub key_validity: Option<Duration>,
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -131,7 +131,8 @@
         let now = self.clock.now();
         let cost = cost(allowance.unit, facts);
         let id = customer_id(&customer.name);
-        match self.allowances.borrow_mut().take(id, allowance, cost, now) {
+        let tolerance = self.settings.borrow().allowance_tolerance;
+        match self.allowances.borrow_mut().take(id, allowance, cost, tolerance, now) {
             Grant::Granted => Ok(cost),
             Grant::Refused { retry_after, level, silent_peers } => {
                 info!(
--- a/components/gateway/src/shell/hand_over.rs
+++ b/components/gateway/src/shell/hand_over.rs
@@ -160,7 +160,7 @@
         let facts = self.dialect.read_answer(head.status, &head.headers);
         seat.heard();
         if facts.not_run {
-            seat.end(Ending::Declined);
+            seat.end(if facts.other_instance { Ending::Replaced } else { Ending::Declined });
             return Began::Ended(HandOver::Declined);
         }
         let echoed = facts.attempt_id.as_deref();
