Give one place in four to the lowest rank that waits; long answers to upstreams that finish in time

Long answers went to slow upstreams and ran into the time limit (40 of 57 ends by deadline), and requests that came back with little time waited most of it.

Change: every fourth place goes to the lowest rank that waits; the pace of output is learned by upstream and what would exceed the time left weighs against it; a request waits for at most six tenths of its time.

--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -31,6 +31,11 @@
 /// long under load.
 const AFFINITY_MEMORY: Duration = Duration::from_secs(10);
 
+/// Places that go to waiting requests by rank between two that go to the lowest rank that waits, so
+/// that no rank is starved. What waits there longest is cheap on the users' engines: a place for it
+/// is held for a tenth of the time.
+const PLACES_BETWEEN_LOWER: u32 = 3;
+
 /// Most remembered places.
 const AFFINITY_ENTRIES: usize = 4_096;
 
@@ -63,6 +68,8 @@
     pub objective_at: Instant,
     /// Until when it may wait for a place.
     pub wait_until: Instant,
+    /// Until when the whole answer must be there.
+    pub limit_at: Instant,
     /// Upstreams that it must not go to again.
     pub excluded: Vec<InstanceId>,
 }
@@ -79,8 +86,11 @@
     pub address: SocketAddr,
     /// Prompt tokens that are counted at the upstream until the first event.
     pub prompt_tokens: u32,
+    /// Output tokens that are expected.
+    pub output_tokens: u32,
     /// When the place was given.
     pub at: Instant,
+    first_event_at: Option<Instant>,
     backlog_tokens: u64,
     in_backlog: bool,
     ticket: u64,
@@ -150,6 +160,7 @@
     owed: Owed,
     sessions: HashMap<u64, (InstanceId, Instant)>,
     next_ticket: u64,
+    until_lower: u32,
     rng: ChaCha8Rng,
 }
 
@@ -163,6 +174,7 @@
             owed: Owed::default(),
             sessions: HashMap::new(),
             next_ticket: 0,
+            until_lower: PLACES_BETWEEN_LOWER,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -272,23 +284,48 @@
 
     /// Gives places that are free now to requests that wait, the most important first.
     pub fn wake(&mut self, now: Instant) -> Vec<Woken> {
-        let mut woken = Vec::new();
+        let mut woken = self.give_up(now);
+        while self.until_lower == 0
+            && let Some(waiter) = self.queue.first_of_lowest(now)
+            && let Some(job) = self.queue.job(waiter).cloned()
+            && let Some(instance) = self.choose(&job, now)
+        {
+            woken.push(self.place_waiter(waiter, &job, &instance, now));
+            self.until_lower = PLACES_BETWEEN_LOWER;
+        }
         for waiter in self.queue.in_order(now) {
             let Some(job) = self.queue.job(waiter).cloned() else { continue };
-            if now >= job.wait_until {
-                self.queue.remove(waiter);
-                let retry_after = self.queue.expected_wait(&job, now);
-                let refused = Refused { reason: RefusedBecause::Full, retry_after };
-                woken.push(Woken::Refuse(waiter, refused));
-            } else if let Some(instance) = self.find(&job, now) {
-                self.queue.remove(waiter);
-                let assignment = self.assign(&instance, &job, now);
-                woken.push(Woken::Place(waiter, assignment));
+            if let Some(instance) = self.find(&job, now) {
+                woken.push(self.place_waiter(waiter, &job, &instance, now));
+                self.until_lower = self.until_lower.saturating_sub(1);
             }
         }
         woken
     }
 
+    fn place_waiter(
+        &mut self,
+        waiter: WaiterId,
+        job: &Job,
+        instance: &InstanceId,
+        now: Instant,
+    ) -> Woken {
+        self.queue.remove(waiter);
+        Woken::Place(waiter, self.assign(instance, job, now))
+    }
+
+    /// Refuses what has waited in vain.
+    fn give_up(&mut self, now: Instant) -> Vec<Woken> {
+        let mut refused = Vec::new();
+        for (waiter, job) in self.queue.overdue(now) {
+            self.queue.remove(waiter);
+            let retry_after = self.queue.expected_wait(&job, now);
+            let refusal = Refused { reason: RefusedBecause::Full, retry_after };
+            refused.push(Woken::Refuse(waiter, refusal));
+        }
+        refused
+    }
+
     /// Takes a request out of the queue.
     pub fn withdraw(&mut self, waiter: WaiterId) {
         self.queue.remove(waiter);
@@ -321,6 +358,7 @@
         if let Some(tracked) = self.upstreams.get_mut(&assignment.instance) {
             tracked.leave_backlog(assignment);
             tracked.learn_first_event(assignment, now);
+            assignment.first_event_at = Some(now);
             tracked.heard_at = now;
         }
     }
@@ -336,6 +374,9 @@
     pub fn ended(&mut self, assignment: &mut Assignment, ending: Ending, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(&assignment.instance) {
             tracked.leave_backlog(assignment);
+            if ending == Ending::Served {
+                tracked.learn_output(assignment, now);
+            }
             tracked.end(assignment.ticket, ending, now);
         }
     }
@@ -369,7 +410,9 @@
             instance: instance.clone(),
             address,
             prompt_tokens: job.prompt_tokens,
+            output_tokens: job.output_tokens,
             at: now,
+            first_event_at: None,
             backlog_tokens,
             in_backlog: true,
             ticket,
--- a/components/gateway/src/scheduler/place.rs
+++ b/components/gateway/src/scheduler/place.rs
@@ -30,6 +30,10 @@
 /// How strongly a failure rate raises the score.
 const FAILURE_WEIGHT: f64 = 8.0;
 
+/// How much longer than expected an answer is reckoned to take against its time limit; callers'
+/// estimates of its length are off by as much for one in four.
+const SAFETY: f64 = 1.4;
+
 /// A fixed part of each score on which failures and chance act even at idle upstreams, in
 /// milliseconds.
 const BASE_MS: f64 = 10.0;
@@ -52,7 +56,7 @@
             let holds_session = session.as_ref() == Some(instance);
             let distance = self.places.distance_to(&tracked.upstream.zone);
             let chance = 1.0 + SPREAD * (self.rng.random::<f64>() - 0.5);
-            let score = score_ms(tracked, job, holds_session, distance) * chance;
+            let score = score_ms(tracked, job, holds_session, distance, now) * chance;
             let doubtful = tracked.is_paused(now) || tracked.is_silent(now);
             let candidate = if doubtful { &mut fallback } else { &mut best };
             if candidate.as_ref().is_none_or(|(least, _)| score < *least) {
@@ -68,7 +72,13 @@
     }
 }
 
-fn score_ms(tracked: &Tracked, job: &Job, holds_session: bool, distance: Distance) -> f64 {
+fn score_ms(
+    tracked: &Tracked,
+    job: &Job,
+    holds_session: bool,
+    distance: Distance,
+    now: Instant,
+) -> f64 {
     let own_tokens = if holds_session { 0 } else { u64::from(job.prompt_tokens) };
     let first_event = tracked.speed.expect_ms(tracked.backlog_tokens() + own_tokens);
     let batch = f64::from(tracked.running()) / f64::from(tracked.upstream.slots.max(1));
@@ -77,6 +87,9 @@
         Distance::SameRegion => OTHER_ZONE_MS,
         Distance::OtherRegion => OTHER_REGION_MS,
     };
-    let waiting = BASE_MS + first_event + batch * FULL_BATCH_MS + way;
+    let whole = first_event + tracked.speed.expect_output_ms(job.output_tokens);
+    let left = job.limit_at.saturating_duration_since(now).as_secs_f64() * 1_000.0;
+    let over = (whole * SAFETY - left).max(0.0);
+    let waiting = BASE_MS + first_event + batch * FULL_BATCH_MS + way + over;
     waiting * (1.0 + FAILURE_WEIGHT * tracked.failure_rate())
 }
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -111,6 +111,22 @@
         }
     }
 
+    /// Requests that have waited for as long as they may.
+    pub(super) fn overdue(&self, now: Instant) -> Vec<(WaiterId, Job)> {
+        let overdue = self.waiting.iter().filter(|(_, job)| now >= job.wait_until);
+        overdue.map(|(id, job)| (*id, job.clone())).collect()
+    }
+
+    /// The first of the lowest rank that waits, if several ranks do.
+    pub(super) fn first_of_lowest(&self, now: Instant) -> Option<WaiterId> {
+        let lowest = self.waiting.values().map(|job| job.rank).max()?;
+        let highest = self.waiting.values().map(|job| job.rank).min()?;
+        if lowest == highest {
+            return None;
+        }
+        self.in_order(now).into_iter().find(|id| self.waiting[id].rank == lowest)
+    }
+
     /// Waiting requests, the first to be served first.
     pub(super) fn in_order(&self, now: Instant) -> Vec<WaiterId> {
         let mut waiters: Vec<_> =
--- a/components/gateway/src/scheduler/speed.rs
+++ b/components/gateway/src/scheduler/speed.rs
@@ -12,16 +12,30 @@
 /// Weight of the initial value, in tokens.
 const INITIAL_TOKENS: f64 = 2_000.0;
 
-/// The ratio of time to tokens read until the first event.
+/// Milliseconds an output token in a full batch before anything was observed, from the engines' data
+/// sheets.
+const INITIAL_MS_PER_OUTPUT_TOKEN: f64 = 4.0;
+
+/// Weight of the initial value, in output tokens.
+const INITIAL_OUTPUT_TOKENS: f64 = 400.0;
+
+/// The ratio of time to tokens read until the first event, and to tokens generated after it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Speed {
     elapsed_ms: f64,
     tokens: f64,
+    output_ms: f64,
+    output_tokens: f64,
 }
 
 impl Default for Speed {
     fn default() -> Self {
-        Speed { elapsed_ms: INITIAL_MS_PER_TOKEN * INITIAL_TOKENS, tokens: INITIAL_TOKENS }
+        Speed {
+            elapsed_ms: INITIAL_MS_PER_TOKEN * INITIAL_TOKENS,
+            tokens: INITIAL_TOKENS,
+            output_ms: INITIAL_MS_PER_OUTPUT_TOKEN * INITIAL_OUTPUT_TOKENS,
+            output_tokens: INITIAL_OUTPUT_TOKENS,
+        }
     }
 }
 
@@ -32,6 +46,18 @@
         self.tokens = self.tokens * MEMORY + backlog_tokens as f64 + FIXED_WORK_TOKENS;
     }
 
+    /// Takes in that a whole answer for which `expected_tokens` were expected took `elapsed_ms` after
+    /// its first event. Callers' estimates are right on the average.
+    pub(super) fn observe_output(&mut self, elapsed_ms: f64, expected_tokens: u32) {
+        self.output_ms = self.output_ms * MEMORY + elapsed_ms;
+        self.output_tokens = self.output_tokens * MEMORY + f64::from(expected_tokens);
+    }
+
+    /// Time for an answer after its first event, in milliseconds.
+    pub(super) fn expect_output_ms(&self, expected_tokens: u32) -> f64 {
+        self.output_ms / self.output_tokens * f64::from(expected_tokens)
+    }
+
     /// Time until a first event with `backlog_tokens` to read, in milliseconds.
     pub(super) fn expect_ms(&self, backlog_tokens: u64) -> f64 {
         self.elapsed_ms / self.tokens * (backlog_tokens as f64 + FIXED_WORK_TOKENS)
--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -25,6 +25,9 @@
 const LONGEST_STREAM_WAIT: Duration = Duration::from_millis(1_800);
 const LONGEST_PLAIN_WAIT: Duration = Duration::from_millis(800);
 
+/// Part of a request's time that it may spend waiting; the rest is for its run.
+const WAIT_SHARE: f64 = 0.6;
+
 /// Least time left for which a hand-over is worth its while.
 const LEAST_TIME: Duration = Duration::from_millis(10);
 
@@ -145,6 +148,7 @@
 
 fn job(call: &Call, tried: &Tried) -> Job {
     let objective = call.route.latency_objective;
+    let patience = call.limit_at.saturating_duration_since(call.arrived);
     let longest =
         if call.route.kind.is_stream() { LONGEST_STREAM_WAIT } else { LONGEST_PLAIN_WAIT };
     Job {
@@ -155,7 +159,8 @@
         session_part: call.facts.prompt_parts.last().map(|part| part.id),
         arrived: call.arrived,
         objective_at: call.arrived + objective,
-        wait_until: (call.arrived + longest).min(call.limit_at),
+        wait_until: call.arrived + longest.min(patience.mul_f64(WAIT_SHARE)),
+        limit_at: call.limit_at,
         excluded: tried.excluded.clone(),
     }
 }
--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -251,6 +251,7 @@
             arrived: self.call.arrived,
             objective_at: now,
             wait_until: now,
+            limit_at: self.call.limit_at,
             excluded: self.tried.excluded.clone(),
         }
     }
