Give places owners where entries are many, and tell a busy upstream from a silent one

Cause: on the grown deployments 27 to 30 entries saw the same places free between two digests and all took them: 200 to 420 requests above 432 places stood in the engines' queues, first events came after 627 ms at the median for the highest rank. Each entry had to find out by itself which of 20 replaced workers were gone (3,629 declined hand-overs). Digests to all cost 0.1 GB between zones.

--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -23,7 +23,7 @@
 const OVERDRAFT_SHARE: f64 = 0.25;
 
 /// Silence of a peer after which its use is estimated instead of heard; several digests long.
-const PEER_SILENCE: Duration = Duration::from_millis(1_000);
+const PEER_SILENCE: Duration = Duration::from_millis(1_600);
 
 /// Names a peer's process.
 pub type PeerId = u64;
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -19,6 +19,8 @@
     pub version: u64,
     /// Work in flight, by the short id of the upstream.
     pub loads: Vec<(u32, Load)>,
+    /// Upstreams whose address belongs to another instance, by their short ids.
+    pub replaced: Vec<u32>,
     /// Requests that wait.
     pub waiting: Vec<Waiting>,
     /// What it says of customers' allowances.
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -24,11 +24,14 @@
     pub id: PeerId,
     /// Where it takes digests.
     pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
 }
 
 #[derive(Debug)]
 struct Known {
     address: SocketAddr,
+    zone: String,
     left_at: Option<Instant>,
     heard_at: Option<Instant>,
     sequence: u32,
@@ -50,6 +53,7 @@
         for member in members {
             let known = self.known.entry(member.id).or_insert(Known {
                 address: member.address,
+                zone: member.zone.clone(),
                 left_at: None,
                 heard_at: None,
                 sequence: 0,
@@ -93,9 +97,11 @@
         self.known.keys().copied()
     }
 
-    /// Where digests go.
-    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.known.values().filter(|known| known.left_at.is_none()).map(|known| known.address)
+    /// Where digests go: to all, or to those of one availability zone.
+    pub fn addresses(&self, zone: Option<&str>) -> Vec<SocketAddr> {
+        let here = self.known.values().filter(|known| known.left_at.is_none());
+        let wanted = here.filter(|known| zone.is_none_or(|zone| known.zone == zone));
+        wanted.map(|known| known.address).collect()
     }
 
     /// Entries, this one included.
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 
 mod place;
 mod queue;
+mod shares;
 mod speed;
 mod tracked;
 mod yielding;
@@ -21,9 +22,11 @@
 
 use crate::model::{InstanceId, Places, Upstream};
 use queue::Queue;
+use shares::Growth;
 use tracked::Tracked;
 use yielding::{Owed, service_id};
 
+pub use shares::SMALL_GROUP;
 pub use tracked::Load;
 pub use yielding::Waiting;
 
@@ -155,9 +158,13 @@
 #[derive(Debug)]
 pub struct Scheduler {
     places: Places,
+    own_id: u64,
+    entries: Vec<u64>,
     upstreams: HashMap<InstanceId, Tracked>,
     queue: Queue,
     owed: Owed,
+    growth: Growth,
+    running: u32,
     sessions: HashMap<u64, (InstanceId, Instant)>,
     next_ticket: u64,
     until_lower: u32,
@@ -165,17 +172,21 @@
 }
 
 impl Scheduler {
-    /// A scheduler that knows no upstream.
-    pub fn new(places: Places, seed: u64) -> Scheduler {
+    /// A scheduler that knows no upstream and no other entry; `own_id` names this one.
+    pub fn new(places: Places, own_id: u64) -> Scheduler {
         Scheduler {
             places,
+            own_id,
+            entries: vec![own_id],
             upstreams: HashMap::new(),
             queue: Queue::default(),
             owed: Owed::default(),
+            growth: Growth::default(),
+            running: 0,
             sessions: HashMap::new(),
             next_ticket: 0,
             until_lower: PLACES_BETWEEN_LOWER,
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: ChaCha8Rng::seed_from_u64(own_id),
         }
     }
 
@@ -206,19 +217,45 @@
                 }
             }
         }
+        self.share_places();
         freed
     }
 
+    /// Takes in which other entries there are.
+    pub fn set_entries(&mut self, mut others: Vec<u64>) {
+        others.push(self.own_id);
+        others.sort_unstable();
+        if others != self.entries {
+            self.entries = others;
+            self.share_places();
+        }
+    }
+
+    fn share_places(&mut self) {
+        for tracked in self.upstreams.values_mut() {
+            let slots = tracked.upstream.slots;
+            tracked.own_share =
+                shares::own_share(tracked.short_id, slots, self.own_id, &self.entries);
+            tracked.kept_clear = shares::kept_clear(slots, self.entries.len());
+        }
+    }
+
     /// Takes in what a peer has in flight and what waits there; replaces what it said before.
     pub fn hear_peer(
         &mut self,
         peer: u64,
         loads: &HashMap<u32, Load>,
         waiting: &[Waiting],
-        entries: usize,
+        replaced: &[u32],
     ) {
-        self.owed.hear(peer, waiting, entries);
+        let entries = self.entries.len();
+        if entries <= SMALL_GROUP {
+            self.owed.hear(peer, waiting, entries);
+        }
         for tracked in self.upstreams.values_mut() {
+            if replaced.contains(&tracked.short_id) {
+                tracked.is_gone = true;
+            }
             match loads.get(&tracked.short_id) {
                 Some(load) => tracked.peers.insert(peer, *load),
                 None => tracked.peers.remove(&peer),
@@ -240,6 +277,12 @@
         busy.map(|tracked| (tracked.short_id, tracked.own))
     }
 
+    /// Upstreams whose address belongs to another instance, by their short ids.
+    pub fn replaced(&self) -> Vec<u32> {
+        let gone = self.upstreams.values().filter(|tracked| tracked.is_gone);
+        gone.map(|tracked| tracked.short_id).collect()
+    }
+
     /// A line for each upstream that is in use, for logs: own and all requests in flight, prompt
     /// tokens that wait, and the time expected until a first event.
     pub fn describe(&self) -> String {
@@ -370,8 +413,15 @@
         }
     }
 
+    /// Whether an upstream has sent nothing for some time although it has work.
+    pub fn is_silent(&self, instance: &InstanceId, now: Instant) -> bool {
+        self.upstreams.get(instance).is_none_or(|tracked| tracked.is_silent(now))
+    }
+
     /// Frees a place.
     pub fn ended(&mut self, assignment: &mut Assignment, ending: Ending, now: Instant) {
+        self.running = self.running.saturating_sub(1);
+        self.growth.observe(self.running, now);
         if let Some(tracked) = self.upstreams.get_mut(&assignment.instance) {
             tracked.leave_backlog(assignment);
             if ending == Ending::Served {
@@ -397,6 +447,8 @@
     fn assign(&mut self, instance: &InstanceId, job: &Job, now: Instant) -> Assignment {
         self.queue.count_placed(&job.service, job.rank, now);
         self.next_ticket += 1;
+        self.running += 1;
+        self.growth.observe(self.running, now);
         let ticket = self.next_ticket;
         if let Some(part) = job.session_part {
             self.remember_session(part, instance, now);
--- a/components/gateway/src/scheduler/tracked.rs
+++ b/components/gateway/src/scheduler/tracked.rs
@@ -52,7 +52,12 @@
     paused_until: Option<Instant>,
     tickets: HashMap<u64, Instant>,
     left_until: Vec<Instant>,
-    is_gone: bool,
+    /// Its address belongs to another instance; its announcement lapses in a few seconds.
+    pub(super) is_gone: bool,
+    /// Places that this entry owns.
+    pub(super) own_share: u32,
+    /// Places that are left to their owners.
+    pub(super) kept_clear: u32,
 }
 
 /// Names an upstream's lifetime between entries, in four bytes.
@@ -76,6 +81,8 @@
             tickets: HashMap::new(),
             left_until: Vec::new(),
             is_gone: false,
+            own_share: 0,
+            kept_clear: 0,
         }
     }
 
@@ -87,13 +94,26 @@
 
     /// Requests in flight from all entries.
     pub(super) fn running(&self) -> u32 {
-        self.own.running + self.peers.values().map(|load| load.running).sum::<u32>()
+        self.own.running + self.others_running(1.0)
+    }
+
+    /// Requests in flight from other entries, if these have grown since they told.
+    fn others_running(&self, growth: f64) -> u32 {
+        let told: u32 = self.peers.values().map(|load| load.running).sum();
+        (f64::from(told) * growth).round() as u32
     }
 
     /// Whether a place is free and not left to another entry.
-    pub(super) fn has_place(&self, now: Instant) -> bool {
+    pub(super) fn has_place(&self, growth: f64, now: Instant) -> bool {
         let left = self.left_until.iter().filter(|until| now < **until).count() as u32;
-        self.running() + left < self.upstream.slots
+        self.has_own_place()
+            || self.own.running + self.others_running(growth) + left + self.kept_clear
+                < self.upstream.slots
+    }
+
+    /// Whether one of the places that this entry owns is free.
+    pub(super) fn has_own_place(&self) -> bool {
+        self.own.running < self.own_share
     }
 
     /// Leaves a free place to another entry for a short time.
@@ -112,11 +132,6 @@
         self.failure_rate
     }
 
-    /// Whether its address belongs to another instance; its announcement lapses in a few seconds.
-    pub(super) fn is_gone(&self) -> bool {
-        self.is_gone
-    }
-
     /// Whether it is left alone after it could not be reached.
     pub(super) fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
--- a/components/gateway/src/shell/hand_over.rs
+++ b/components/gateway/src/shell/hand_over.rs
@@ -112,18 +112,12 @@
                 return Began::Ended(HandOver::NotSent);
             }
         };
-        let sent = connection.send(request);
-        let answered = if call.route.kind.may_repeat() {
-            let patience = call.route.latency_objective * SILENT_OBJECTIVES;
-            match tokio::time::timeout(patience, sent).await {
-                Ok(answered) => answered,
-                Err(_) => {
-                    seat.end(Ending::Failed);
-                    return Began::Ended(HandOver::Silent);
-                }
+        let answered = tokio::select! {
+            answered = connection.send(request) => answered,
+            () = self.silence(call, seat) => {
+                self.note_failure(call, seat, "silent");
+                return Began::Ended(HandOver::Silent);
             }
-        } else {
-            sent.await
         };
         match answered {
             Ok(answer) => self.begin(call, seat, connection, answer),
@@ -135,6 +129,22 @@
         }
     }
 
+    /// Ends when a request that may be repeated does better elsewhere: the upstream has sent nothing
+    /// to anybody for some time. A busy upstream is late but not silent.
+    async fn silence(&self, call: &Call, seat: &Seat) {
+        if !call.route.kind.may_repeat() {
+            return std::future::pending().await;
+        }
+        let patience = call.route.latency_objective * SILENT_OBJECTIVES;
+        loop {
+            tokio::time::sleep(patience).await;
+            let instance = &seat.assignment().instance;
+            if self.scheduler.borrow().is_silent(instance, self.clock.now()) {
+                return;
+            }
+        }
+    }
+
     fn write_request(
         &self,
         call: &Call,
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -5,20 +5,30 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use log::debug;
+use log::{debug, warn};
 use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep_until};
 
 use super::hand_over::SharedRef;
 use super::state::Shared;
 use crate::peers::Digest;
+use crate::scheduler::SMALL_GROUP;
 
-/// Between digests. Placement tolerates this age: an entry places some ten requests meanwhile.
-const DIGEST_PERIOD: Duration = Duration::from_millis(100);
+/// Between digests in a small group. Placement tolerates this age: an entry places some ten requests
+/// meanwhile.
+const SMALL_GROUP_PERIOD: Duration = Duration::from_millis(100);
 
-/// Between digests while requests wait somewhere: a place that one entry frees should not stand
-/// empty for long before another takes it.
+/// Between digests while requests wait somewhere in a small group: a place that one entry frees should
+/// not stand empty for long before another takes it.
 const HASTENED_PERIOD: Duration = Duration::from_millis(15);
 
+/// Between digests in a larger group, whose places have owners.
+const LARGE_GROUP_PERIOD: Duration = Duration::from_millis(200);
+
+/// In a larger group, every so many digests one goes to all availability zones: bytes between zones
+/// are paid for, and what they carry may be older.
+const ROUNDS_TO_ALL_ZONES: u32 = 3;
+
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -29,19 +39,17 @@
 /// Exchanges digests until the process ends.
 pub(super) async fn run(shared: SharedRef, socket: UdpSocket) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
-    let mut timer = tokio::time::interval(DIGEST_PERIOD);
-    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sequence = 0;
+    let mut next_at = Instant::now();
     loop {
         tokio::select! {
-            _ = timer.tick() => {
+            () = sleep_until(next_at) => {
                 sequence += 1;
                 send(&shared, &socket, sequence).await;
+                next_at = Instant::now() + shared.digest_period();
             }
-            () = changed_under_contention(&shared) => {
-                sequence += 1;
-                send(&shared, &socket, sequence).await;
-                timer.reset();
+            () = shared.load_changed.notified() => {
+                next_at = next_at.min(Instant::now() + HASTENED_PERIOD);
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => shared.hear(&buffer[..length], from),
@@ -51,21 +59,15 @@
     }
 }
 
-/// Ends when places or waiting requests have changed while requests wait somewhere.
-async fn changed_under_contention(shared: &Shared) {
-    shared.load_changed.notified().await;
-    tokio::time::sleep(HASTENED_PERIOD).await;
-}
-
 async fn send(shared: &Shared, socket: &UdpSocket, sequence: u32) {
-    let addresses: Vec<SocketAddr> = shared.peers.borrow().addresses().collect();
+    let addresses = shared.digest_addresses(sequence);
     if addresses.is_empty() {
         return;
     }
     let bytes = match shared.digest(sequence).encode() {
         Ok(bytes) => bytes,
         Err(error) => {
-            log::warn!("digest.encode error={error}");
+            warn!("digest.encode error={error}");
             return;
         }
     };
@@ -77,13 +79,30 @@
 }
 
 impl Shared {
+    fn is_small_group(&self) -> bool {
+        self.peers.borrow().entries() <= SMALL_GROUP
+    }
+
+    fn digest_period(&self) -> Duration {
+        if self.is_small_group() { SMALL_GROUP_PERIOD } else { LARGE_GROUP_PERIOD }
+    }
+
+    fn digest_addresses(&self, sequence: u32) -> Vec<SocketAddr> {
+        let to_all = self.is_small_group() || sequence.is_multiple_of(ROUNDS_TO_ALL_ZONES);
+        let settings = self.settings.borrow();
+        let zone = (!to_all).then_some(settings.places.own_zone.as_str());
+        self.peers.borrow().addresses(zone)
+    }
+
     fn digest(&self, sequence: u32) -> Digest {
+        let scheduler = self.scheduler.borrow();
         Digest {
             from: self.process_id,
             sequence,
             version: self.configuration().map_or(0, |known| known.version),
-            loads: self.scheduler.borrow().own_loads().collect(),
-            waiting: self.scheduler.borrow().own_waiting(),
+            loads: scheduler.own_loads().collect(),
+            replaced: scheduler.replaced(),
+            waiting: scheduler.own_waiting(),
             granted: self.allowances.borrow().granted().collect(),
         }
     }
@@ -100,10 +119,9 @@
         if !self.peers.borrow_mut().accept(digest.from, digest.sequence, now) {
             return;
         }
-        let entries = self.peers.borrow().entries();
         let loads: HashMap<_, _> = digest.loads.into_iter().collect();
-        let waiting = &digest.waiting;
-        self.scheduler.borrow_mut().hear_peer(digest.from, &loads, waiting, entries);
+        let (waiting, replaced) = (&digest.waiting, &digest.replaced);
+        self.scheduler.borrow_mut().hear_peer(digest.from, &loads, waiting, replaced);
         self.allowances.borrow_mut().hear_peer(digest.from, &digest.granted, now);
         self.wake_waiters(now);
     }
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -25,7 +25,7 @@
 use crate::peers::{Member, Peers};
 use crate::roster::{Roster, RosterChange};
 use crate::routes::RouteTable;
-use crate::scheduler::{Assignment, Offer, Refused, Scheduler, WaiterId, Woken};
+use crate::scheduler::{Assignment, Offer, Refused, SMALL_GROUP, Scheduler, WaiterId, Woken};
 
 /// How connections to upstreams are watched. A handshake takes one round trip, tens of milliseconds
 /// between regions; an upstream whose queue of new connections is full drops the first packet, and
@@ -206,7 +206,8 @@
 
     /// Tells the other entries of a change at once where requests wait somewhere.
     pub(super) fn note_load_change(&self) {
-        if self.scheduler.borrow().is_contended() {
+        let small_group = self.peers.borrow().entries() <= SMALL_GROUP;
+        if small_group && self.scheduler.borrow().is_contended() {
             self.load_changed.notify_one();
         }
     }
@@ -318,6 +319,7 @@
             members.into_iter().filter(|member| member.id != self.process_id).collect();
         let mut peers = self.peers.borrow_mut();
         peers.set_members(&others, now);
+        self.scheduler.borrow_mut().set_entries(others.iter().map(|member| member.id).collect());
         for member in &others {
             self.allowances.borrow_mut().expect_peer(member.id, now);
         }
