Share readings of the store within a zone; places owned by the entries of a zone; careful starts

Change: digests within a zone say how old the sender's reading is and what it knows, as a fingerprint, with an echo that bounds the age whatever the datagram's way; an entry reads only when nobody of its zone has, or when somebody knows something else. Places are owned among the entries of the upstream's zone. A peer that was never heard counts as silent; a process at a known address replaces the one before; the pull of levels is divided among peers; the spread burst is granted in small groups only.

--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -6,13 +6,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{Allowance, AllowanceUnit, RequestFacts};
+use crate::scheduler::SMALL_GROUP;
 
-/// Part of its burst that a bucket holds when a process meets the customer, and at most. What is left
-/// of the burst is granted evenly over the operators' window, so that the window's total is the
-/// allowance's.
-const HELD_BURST: f64 = 0.5;
+/// Part of its burst that a bucket holds when a process meets the customer, and at most. In a small
+/// group the burst is granted evenly over the operators' window beside.
+const HELD_BURST: f64 = 0.3;
 
-/// Time in which a bucket moves most of the way to a peer's level. Entries start with different
+/// Part of what a bucket holds at most below which its customer is short: entries have to hear of
+/// each other's grants soon then.
+const SHORT_SHARE: f64 = 0.6;
+
+/// Time in which a bucket moves most of the way to the mean of its peers' levels. Entries start with different
 /// levels and miss what was granted before they heard of each other. A peer's level does not yet show
 /// what this entry granted last, so a faster approach would hand those units out again.
 const LEVEL_APPROACH: Duration = Duration::from_secs(5);
@@ -141,13 +145,11 @@
 
     /// Takes in what a peer has granted since it started.
     pub fn hear_peer(&mut self, peer: PeerId, heard: &[Granted], now: Instant) {
-        let known = self.peers.entry(peer).or_insert_with(|| Peer {
-            heard_at: now,
-            heard: false,
-            granted: HashMap::new(),
-        });
+        self.expect_peer(peer, now);
+        let peers = self.peers.len().max(1) as f64;
+        let Some(known) = self.peers.get_mut(&peer) else { return };
         let since = now.saturating_duration_since(known.heard_at);
-        let gain = 1.0 - (-since.as_secs_f64() / LEVEL_APPROACH.as_secs_f64()).exp();
+        let gain = (1.0 - (-since.as_secs_f64() / LEVEL_APPROACH.as_secs_f64()).exp()) / peers;
         known.heard_at = now;
         for &Granted { customer, total, level } in heard {
             let unheard = if known.heard { 0.0 } else { total };
@@ -174,6 +176,13 @@
         });
     }
 
+    /// Whether any customer is short.
+    pub fn is_short(&self) -> bool {
+        let is_short =
+            |bucket: &Bucket| bucket.level < bucket.allowance.burst * HELD_BURST * SHORT_SHARE;
+        self.buckets.values().any(is_short)
+    }
+
     /// What this process has granted since it started, by customer.
     pub fn granted(&self) -> impl Iterator<Item = Granted> + '_ {
         self.buckets.iter().map(|(customer, bucket)| Granted {
@@ -183,8 +192,12 @@
         })
     }
 
+    /// Peers whose use is not known. One that was never heard counts too: after many entries have
+    /// started at once, each would else grant the whole allowance until it hears of the others.
     fn silent_peers(&self, now: Instant) -> usize {
-        let is_silent = |peer: &&Peer| now.saturating_duration_since(peer.heard_at) > PEER_SILENCE;
+        let is_silent = |peer: &&Peer| {
+            !peer.heard || now.saturating_duration_since(peer.heard_at) > PEER_SILENCE
+        };
         self.peers.values().filter(is_silent).count()
     }
 
@@ -196,14 +209,16 @@
         let heard_share = 1.0 - silent as f64 / entries as f64;
         let bucket = self.buckets.entry(customer).or_insert_with(|| Bucket {
             allowance,
-            level: allowance.burst * HELD_BURST,
+            level: allowance.burst * HELD_BURST * heard_share,
             filled_at: now,
             granted: 0.0,
         });
         let elapsed = now.saturating_duration_since(bucket.filled_at).as_secs_f64();
         bucket.filled_at = now;
         bucket.allowance = allowance;
-        let per_second = allowance.per_second + allowance.burst / tolerance.window.as_secs_f64();
+        // Many entries grant more before they hear of each other; the rest of the burst covers it.
+        let spread_burst = if entries > SMALL_GROUP { 0.0 } else { allowance.burst };
+        let per_second = allowance.per_second + spread_burst / tolerance.window.as_secs_f64();
         let gained = elapsed * per_second * heard_share;
         bucket.level = (bucket.level + gained).min(allowance.burst * HELD_BURST);
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod model;
 pub mod outcome;
 pub mod peers;
+pub mod reading;
 pub mod roster;
 pub mod routes;
 pub mod scheduler;
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -17,6 +17,12 @@
     pub sequence: u32,
     /// The configuration in force at the sender.
     pub version: u64,
+    /// What the sender knows of the store, as a fingerprint.
+    pub fingerprint: u64,
+    /// How long ago the store confirmed that.
+    pub confirmed_ms_ago: Option<u32>,
+    /// The newest digests that the sender got from entries of its zone.
+    pub echoes: Vec<(PeerId, u32)>,
     /// Work in flight, by the short id of the upstream.
     pub loads: Vec<(u32, Load)>,
     /// Upstreams whose address belongs to another instance, by their short ids.
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -50,6 +50,10 @@
             let listed = members.iter().any(|member| member.id == *id);
             known.left_at = if listed { None } else { known.left_at.or(Some(now)) };
         }
+        // A process at a known address has taken the place of the one that was there.
+        self.known.retain(|id, known| {
+            !members.iter().any(|member| member.id != *id && member.address == known.address)
+        });
         for member in members {
             let known = self.known.entry(member.id).or_insert(Known {
                 address: member.address,
@@ -97,6 +101,13 @@
         self.known.keys().copied()
     }
 
+    /// The newest digest of each entry of a zone.
+    pub fn heard_in(&self, zone: &str) -> Vec<(PeerId, u32)> {
+        let here = self.known.iter().filter(|(_, known)| known.zone == zone);
+        let heard = here.filter(|(_, known)| known.heard_at.is_some());
+        heard.map(|(id, known)| (*id, known.sequence)).collect()
+    }
+
     /// Where digests go: to all, or to those of one availability zone.
     pub fn addresses(&self, zone: Option<&str>) -> Vec<SocketAddr> {
         let here = self.known.values().filter(|known| known.left_at.is_none());
--- a/components/gateway/src/roster.rs
+++ b/components/gateway/src/roster.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::model::{InstanceId, Upstream};
 
 /// How long an entry that vanished around an outage of the store stays usable after the store's
@@ -15,6 +17,13 @@
     missing: bool,
 }
 
+fn fingerprint_of(upstream: &Upstream) -> u64 {
+    let Upstream { instance, started_unix_ms, service, address, zone, slots, draining } = upstream;
+    let text =
+        format!("{instance} {started_unix_ms} {service} {address} {zone} {slots} {draining}");
+    xxh3_64(text.as_bytes())
+}
+
 /// Upstreams as announced in the store.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -103,6 +112,12 @@
         if self.entries.len() == before { RosterChange::None } else { RosterChange::Usable }
     }
 
+    /// What is known, as a number that is the same at entries that know the same.
+    pub fn fingerprint(&self) -> u64 {
+        let entries = self.entries.values().filter(|entry| !entry.missing);
+        entries.fold(0, |sum, entry| sum ^ fingerprint_of(&entry.upstream))
+    }
+
     /// The upstreams that may be used, draining ones included.
     pub fn usable(&self) -> Vec<Upstream> {
         self.entries.values().map(|entry| entry.upstream.clone()).collect()
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -77,6 +77,15 @@
     pub excluded: Vec<InstanceId>,
 }
 
+/// Another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Names its process.
+    pub id: u64,
+    /// Its availability zone.
+    pub zone: String,
+}
+
 /// Names a request that waits.
 pub type WaiterId = u64;
 
@@ -159,7 +168,7 @@
 pub struct Scheduler {
     places: Places,
     own_id: u64,
-    entries: Vec<u64>,
+    entries: Vec<Entry>,
     upstreams: HashMap<InstanceId, Tracked>,
     queue: Queue,
     owed: Owed,
@@ -177,7 +186,7 @@
         Scheduler {
             places,
             own_id,
-            entries: vec![own_id],
+            entries: Vec::new(),
             upstreams: HashMap::new(),
             queue: Queue::default(),
             owed: Owed::default(),
@@ -222,21 +231,34 @@
     }
 
     /// Takes in which other entries there are.
-    pub fn set_entries(&mut self, mut others: Vec<u64>) {
-        others.push(self.own_id);
-        others.sort_unstable();
-        if others != self.entries {
-            self.entries = others;
-            self.share_places();
-        }
+    pub fn set_entries(&mut self, others: Vec<Entry>) {
+        self.entries = others;
+        self.share_places();
+    }
+
+    fn is_large_group(&self) -> bool {
+        self.entries.len() + 1 > SMALL_GROUP
     }
 
     fn share_places(&mut self) {
+        let large_group = self.is_large_group();
         for tracked in self.upstreams.values_mut() {
+            let zone = &tracked.upstream.zone;
+            let in_zone = *zone == self.places.own_zone;
+            let neighbours: Vec<u64> = self
+                .entries
+                .iter()
+                .filter(|entry| entry.zone == *zone)
+                .map(|entry| entry.id)
+                .collect();
             let slots = tracked.upstream.slots;
-            tracked.own_share =
-                shares::own_share(tracked.short_id, slots, self.own_id, &self.entries);
-            tracked.kept_clear = shares::kept_clear(slots, self.entries.len());
+            tracked.own_share = if large_group && in_zone {
+                shares::own_share(tracked.short_id, slots, self.own_id, &neighbours)
+            } else {
+                0
+            };
+            tracked.kept_clear =
+                if large_group && !in_zone { shares::kept_clear(slots) } else { 0 };
         }
     }
 
@@ -248,9 +270,8 @@
         waiting: &[Waiting],
         replaced: &[u32],
     ) {
-        let entries = self.entries.len();
-        if entries <= SMALL_GROUP {
-            self.owed.hear(peer, waiting, entries);
+        if !self.is_large_group() {
+            self.owed.hear(peer, waiting, self.entries.len() + 1);
         }
         for tracked in self.upstreams.values_mut() {
             if replaced.contains(&tracked.short_id) {
--- a/components/gateway/src/scheduler/place.rs
+++ b/components/gateway/src/scheduler/place.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::tracked::Tracked;
-use super::{AFFINITY_MEMORY, Job, SMALL_GROUP, Scheduler};
+use super::{AFFINITY_MEMORY, Job, Scheduler, shares};
 use crate::model::{Distance, InstanceId};
 
 /// When to come back where no upstream of the service is known: a worker's announcement takes about
@@ -24,10 +24,6 @@
 /// in a batch make each step slower.
 const FULL_BATCH_MS: f64 = 25.0;
 
-/// Part of the upstreams that an entry of a large group looks at for a place that it doesn't own.
-/// All would choose the same best one otherwise, before any hears of the others' choice.
-const SAMPLED_SHARE: f64 = 0.1;
-
 /// How far chance moves a score, so that entries with the same knowledge don't choose alike.
 const SPREAD: f64 = 0.15;
 
@@ -46,8 +42,8 @@
     /// The upstream with a free place at which the first event is expected soonest.
     pub(super) fn choose(&mut self, job: &Job, now: Instant) -> Option<InstanceId> {
         let session = self.session_place(job, now);
-        let large_group = self.entries.len() > SMALL_GROUP;
-        let growth = self.growth.factor(self.entries.len());
+        let large_group = self.is_large_group();
+        let growth = if large_group { self.growth.factor() } else { 1.0 };
         let mut best: Option<(f64, InstanceId)> = None;
         let mut fallback: Option<(f64, InstanceId)> = None;
         for (instance, tracked) in &self.upstreams {
@@ -59,11 +55,14 @@
             {
                 continue;
             }
-            if large_group && !tracked.has_own_place() && self.rng.random::<f64>() > SAMPLED_SHARE {
+            let distance = self.places.distance_to(&tracked.upstream.zone);
+            if large_group
+                && !tracked.has_own_place()
+                && self.rng.random::<f64>() > shares::sampled(distance)
+            {
                 continue;
             }
             let holds_session = session.as_ref() == Some(instance);
-            let distance = self.places.distance_to(&tracked.upstream.zone);
             let chance = 1.0 + SPREAD * (self.rng.random::<f64>() - 0.5);
             let score = score_ms(tracked, job, holds_session, distance, now) * chance;
             let doubtful = tracked.is_paused(now) || tracked.is_silent(now);
--- a/components/gateway/src/scheduler/shares.rs
+++ b/components/gateway/src/scheduler/shares.rs
@@ -1,23 +1,29 @@
 //! Which entry owns which places, where entries are many.
 //!
 //! A few entries tell each other of every change and share all places. Many cannot: between two
-//! digests each sees the same places free, and all take them. So each place has an owner, by
-//! rendezvous hashing, who may always use it; others use it only while the upstream seems well below
-//! its limit.
+//! digests each sees the same places free, and all take them. So each place is owned by one of the
+//! entries of its availability zone, by rendezvous hashing. The owner may always use it, others only
+//! while the upstream seems well below its limit.
 
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::model::Distance;
+
 /// Most entries that share all places.
 pub const SMALL_GROUP: usize = 10;
 
-/// Part of an upstream's places that the entries beyond a small group keep clear of, for each entry:
-/// as many as others may take between two digests.
-const CLEAR_SHARE_PER_ENTRY: f64 = 0.01;
+/// Part of an upstream's places that entries of other zones keep clear of, even if they seem free: as
+/// many as others may take between two digests.
+const KEPT_CLEAR_SHARE: f64 = 0.25;
 
-/// Most of the places that are kept clear.
-const MOST_CLEAR_SHARE: f64 = 0.9;
+/// Parts of the upstreams that an entry of a large group looks at for a place that it doesn't own. All
+/// would choose the same best one otherwise, before any hears of the others' choice. Entries of one
+/// zone are few and hear of each other soon.
+const SAMPLED_SAME_ZONE: f64 = 0.7;
+const SAMPLED_SAME_REGION: f64 = 0.25;
+const SAMPLED_OTHER_REGION: f64 = 0.1;
 
 /// Age of what is known of other entries' work in a large group, from their digests' period.
 const KNOWLEDGE_AGE: Duration = Duration::from_millis(500);
@@ -45,30 +51,32 @@
     }
 
     /// By how much others' work is taken to have grown.
-    pub(super) fn factor(&self, entries: usize) -> f64 {
-        if entries <= SMALL_GROUP {
-            return 1.0;
-        }
+    pub(super) fn factor(&self) -> f64 {
         (f64::from(self.running) / self.lagging.max(1.0)).clamp(1.0, MOST_GROWTH)
     }
 }
 
-/// How many of an upstream's places an entry owns.
-pub(super) fn own_share(upstream: u32, slots: u32, own: u64, entries: &[u64]) -> u32 {
-    if entries.len() <= SMALL_GROUP {
-        return 0;
-    }
-    let owner = |slot: u32| entries.iter().max_by_key(|entry| weight(upstream, slot, **entry));
-    (0..slots).filter(|slot| owner(*slot) == Some(&own)).count() as u32
+/// How many of an upstream's places an entry owns, beside its zone's other entries.
+pub(super) fn own_share(upstream: u32, slots: u32, own: u64, others: &[u64]) -> u32 {
+    let is_own = |slot: &u32| {
+        let weight_of_own = weight(upstream, *slot, own);
+        others.iter().all(|other| weight(upstream, *slot, *other) < weight_of_own)
+    };
+    (0..slots).filter(is_own).count() as u32
+}
+
+/// How many of an upstream's places entries of other zones keep clear of.
+pub(super) fn kept_clear(slots: u32) -> u32 {
+    (f64::from(slots) * KEPT_CLEAR_SHARE).round() as u32
 }
 
-/// How many of an upstream's places are left to their owners even if they seem free.
-pub(super) fn kept_clear(slots: u32, entries: usize) -> u32 {
-    if entries <= SMALL_GROUP {
-        return 0;
+/// Part of the upstreams at a distance that are looked at.
+pub(super) fn sampled(distance: Distance) -> f64 {
+    match distance {
+        Distance::SameZone => SAMPLED_SAME_ZONE,
+        Distance::SameRegion => SAMPLED_SAME_REGION,
+        Distance::OtherRegion => SAMPLED_OTHER_REGION,
     }
-    let share = (CLEAR_SHARE_PER_ENTRY * entries as f64).min(MOST_CLEAR_SHARE);
-    (f64::from(slots) * share).round() as u32
 }
 
 fn weight(upstream: u32, slot: u32, entry: u64) -> u64 {
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -51,8 +51,11 @@
 pub trait Directory {
     /// The store holds this configuration. `asked_at` is the uptime at which it was asked.
     fn configure(&self, configuration: Configuration, asked_at: Duration);
-    /// The store holds no newer configuration than the last one told.
+    /// The store holds nothing newer than what was told. `asked_at` is the uptime at which it was
+    /// asked.
     fn confirm(&self, asked_at: Duration);
+    /// Whether the store should be read now.
+    fn is_reading_due(&self) -> bool;
     /// An upstream announces itself.
     fn announce(&self, upstream: Upstream);
     /// An upstream's announcement is gone.
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -12,6 +12,7 @@
 use super::hand_over::SharedRef;
 use super::state::Shared;
 use crate::peers::Digest;
+use crate::reading::HeardReading;
 use crate::scheduler::SMALL_GROUP;
 
 /// Between digests in a small group. Placement tolerates this age: an entry places some ten requests
@@ -27,7 +28,7 @@
 
 /// In a larger group, every so many digests one goes to all availability zones: bytes between zones
 /// are paid for, and what they carry may be older.
-const ROUNDS_TO_ALL_ZONES: u32 = 3;
+const ROUNDS_TO_ALL_ZONES: u32 = 2;
 
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
@@ -88,7 +89,9 @@
     }
 
     fn digest_addresses(&self, sequence: u32) -> Vec<SocketAddr> {
-        let to_all = self.is_small_group() || sequence.is_multiple_of(ROUNDS_TO_ALL_ZONES);
+        let to_all = self.is_small_group()
+            || sequence.is_multiple_of(ROUNDS_TO_ALL_ZONES)
+            || self.allowances.borrow().is_short();
         let settings = self.settings.borrow();
         let zone = (!to_all).then_some(settings.places.own_zone.as_str());
         self.peers.borrow().addresses(zone)
@@ -96,7 +99,13 @@
 
     fn digest(&self, sequence: u32) -> Digest {
         let scheduler = self.scheduler.borrow();
+        let uptime = self.clock.uptime();
+        self.readings.borrow_mut().note_sent(sequence, uptime);
+        let age = self.freshness.get().age(uptime);
         Digest {
+            fingerprint: self.fingerprint(),
+            confirmed_ms_ago: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+            echoes: self.peers.borrow().heard_in(&self.settings.borrow().places.own_zone),
             from: self.process_id,
             sequence,
             version: self.configuration().map_or(0, |known| known.version),
@@ -107,6 +116,18 @@
         }
     }
 
+    fn hear_reading(&self, digest: &Digest) {
+        let own = digest.echoes.iter().find(|(peer, _)| *peer == self.process_id);
+        let heard = HeardReading {
+            echoed: own.map(|(_, sequence)| *sequence),
+            age: digest.confirmed_ms_ago.map(|age| Duration::from_millis(age.into())),
+            same: digest.fingerprint == self.fingerprint(),
+        };
+        if let Some(confirmed_at) = self.readings.borrow_mut().hear(heard) {
+            self.confirm_known(confirmed_at);
+        }
+    }
+
     fn hear(&self, bytes: &[u8], from: SocketAddr) {
         let digest = match Digest::decode(bytes) {
             Ok(digest) => digest,
@@ -116,9 +137,14 @@
             }
         };
         let now = self.clock.now();
+        if !self.peers.borrow().is_member(digest.from) {
+            self.readings.borrow_mut().note_stranger();
+            return;
+        }
         if !self.peers.borrow_mut().accept(digest.from, digest.sequence, now) {
             return;
         }
+        self.hear_reading(&digest);
         let loads: HashMap<_, _> = digest.loads.into_iter().collect();
         let (waiting, replaced) = (&digest.waiting, &digest.replaced);
         self.scheduler.borrow_mut().hear_peer(digest.from, &loads, waiting, replaced);
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -23,9 +23,12 @@
 use crate::freshness::Freshness;
 use crate::model::{CallerLimits, Configuration, Upstream};
 use crate::peers::{Member, Peers};
+use crate::reading::Readings;
 use crate::roster::{Roster, RosterChange};
 use crate::routes::RouteTable;
-use crate::scheduler::{Assignment, Offer, Refused, SMALL_GROUP, Scheduler, WaiterId, Woken};
+use crate::scheduler::{
+    Assignment, Entry, Offer, Refused, SMALL_GROUP, Scheduler, WaiterId, Woken,
+};
 
 /// How connections to upstreams are watched. A handshake takes one round trip, tens of milliseconds
 /// between regions; an upstream whose queue of new connections is full drops the first packet, and
@@ -67,7 +70,9 @@
     pub(super) stopping_since: Cell<Option<Instant>>,
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
+    pub(super) readings: RefCell<Readings>,
     roster: RefCell<Roster>,
+    members_fingerprint: Cell<u64>,
     waiters: RefCell<HashMap<WaiterId, oneshot::Sender<Result<Assignment, Refused>>>>,
     was_ready: Cell<bool>,
 }
@@ -100,7 +105,9 @@
             stopping_since: Cell::new(None),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            readings: RefCell::default(),
             roster: RefCell::default(),
+            members_fingerprint: Cell::new(0),
             waiters: RefCell::default(),
             was_ready: Cell::new(false),
         })
@@ -138,6 +145,19 @@
         ready
     }
 
+    /// What is known of the store, as a number that is the same at entries that know the same.
+    pub(super) fn fingerprint(&self) -> u64 {
+        let version = self.configuration().map_or(0, |known| known.version);
+        self.roster.borrow().fingerprint() ^ self.members_fingerprint.get() ^ version
+    }
+
+    /// Takes in when the store, at the latest, confirmed what is known.
+    pub(super) fn confirm_known(&self, confirmed_at: Duration) {
+        let mut freshness = self.freshness.get();
+        freshness.confirm(confirmed_at);
+        self.freshness.set(freshness);
+    }
+
     pub(super) fn reload(&self, settings: Settings) {
         self.budget.borrow_mut().set_limit(settings.retry_limit);
         *self.settings.borrow_mut() = settings;
@@ -270,7 +290,7 @@
             warn!("configuration.older offered={} kept={before}", configuration.version);
             return;
         }
-        self.confirm(asked_at);
+        self.confirm_known(asked_at);
         if configuration.version == before && before != 0 {
             return;
         }
@@ -292,9 +312,13 @@
     }
 
     fn confirm(&self, asked_at: Duration) {
-        let mut freshness = self.freshness.get();
-        freshness.confirm(asked_at);
-        self.freshness.set(freshness);
+        self.readings.borrow_mut().note_read(asked_at);
+        self.confirm_known(asked_at);
+    }
+
+    fn is_reading_due(&self) -> bool {
+        let uptime = self.clock.uptime();
+        self.readings.borrow().is_due(self.freshness.get().age(uptime), uptime)
     }
 
     fn announce(&self, upstream: Upstream) {
@@ -315,11 +339,13 @@
 
     fn set_members(&self, members: Vec<Member>) {
         let now = self.clock.now();
+        self.members_fingerprint.set(members.iter().fold(0, |sum, member| sum ^ member.id));
         let others: Vec<Member> =
             members.into_iter().filter(|member| member.id != self.process_id).collect();
         let mut peers = self.peers.borrow_mut();
         peers.set_members(&others, now);
-        self.scheduler.borrow_mut().set_entries(others.iter().map(|member| member.id).collect());
+        let entries = others.iter().map(|other| Entry { id: other.id, zone: other.zone.clone() });
+        self.scheduler.borrow_mut().set_entries(entries.collect());
         for member in &others {
             self.allowances.borrow_mut().expect_peer(member.id, now);
         }
--- /dev/null
+++ b/components/gateway/tests/budget.rs
@@ -0,0 +1,40 @@
+//! Repeats stay within the limit over all entries.
+
+use std::time::{Duration, Instant};
+
+use gateway::budget::{RetryBudget, RetryLimit};
+
+const LIMIT: RetryLimit = RetryLimit { ratio: 0.2, window: Duration::from_secs(10), slack: 54.0 };
+
+#[test]
+fn all_entries_together_stay_within_the_limit_in_any_window() {
+    let start = Instant::now();
+    let entries = 4;
+    let mut budgets: Vec<RetryBudget> =
+        (0..entries).map(|_| RetryBudget::new(LIMIT, start)).collect();
+    let mut granted: Vec<(u64, u32)> = Vec::new();
+    for step in 0..4_000_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        let mut repeats = 0;
+        for budget in &mut budgets {
+            budget.count_request("models", now);
+            repeats += (0..3).filter(|_| budget.take_repeat("models", entries, now)).count() as u32;
+        }
+        granted.push((step * 10, repeats));
+    }
+    let requests_in_window = 4.0 * 1_000.0;
+    let allowed = LIMIT.ratio * requests_in_window + LIMIT.slack;
+    for window in granted.windows(1_000) {
+        let repeats: u32 = window.iter().map(|(_, repeats)| repeats).sum();
+        assert!(f64::from(repeats) <= allowed, "{repeats} from {} ms", window[0].0);
+    }
+    assert!(granted.iter().map(|(_, repeats)| repeats).sum::<u32>() > 1_000, "some are granted");
+}
+
+#[test]
+fn a_quiet_service_has_the_slack_only() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(LIMIT, start);
+    let granted = (0..100).filter(|_| budget.take_repeat("desk", 4, start)).count();
+    assert!(granted > 0 && granted as f64 <= LIMIT.slack / 4.0, "{granted}");
+}
