--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -78,10 +78,13 @@
         }
     }
 
-    /// Forgets members that left long ago.
+    /// Forgets members whose entry in the store is gone and that were not heard for long.
     pub fn settle(&mut self, now: Instant) {
         self.known.retain(|_, known| {
-            known.left_at.is_none_or(|at| now.saturating_duration_since(at) < LEAVING_MEMORY)
+            known.left_at.is_none_or(|left_at| {
+                let last = known.heard_at.map_or(left_at, |heard_at| heard_at.max(left_at));
+                now.saturating_duration_since(last) < LEAVING_MEMORY
+            })
         });
     }
 
@@ -108,9 +111,13 @@
         heard.map(|(id, known)| (*id, known.sequence)).collect()
     }
 
-    /// Where digests go: to all, or to those of one availability zone.
-    pub fn addresses(&self, zone: Option<&str>) -> Vec<SocketAddr> {
-        let here = self.known.values().filter(|known| known.left_at.is_none());
+    /// Where digests go: to all, or to those of one availability zone. A process whose entry is gone
+    /// but that is heard still serves callers; it only can't reach the store.
+    pub fn addresses(&self, zone: Option<&str>, now: Instant) -> Vec<SocketAddr> {
+        let here = self.known.values().filter(|known| {
+            let heard = |at| now.saturating_duration_since(at) < LOAD_MEMORY;
+            known.left_at.is_none() || known.heard_at.is_some_and(heard)
+        });
         let wanted = here.filter(|known| zone.is_none_or(|zone| known.zone == zone));
         wanted.map(|known| known.address).collect()
     }
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -94,7 +94,7 @@
             || self.allowances.borrow().is_short();
         let settings = self.settings.borrow();
         let zone = (!to_all).then_some(settings.places.own_zone.as_str());
-        self.peers.borrow().addresses(zone)
+        self.peers.borrow().addresses(zone, self.clock.now())
     }
 
     fn digest(&self, sequence: u32) -> Digest {
