Give every refusal its request's id, and each hand-over its route, place and times

Cause: a request refused at admission was logged without its id, so its caller's complaint led nowhere; the line on a hand-over did not say when the request got its place.

Change: the id is read before anything can refuse; the lines on hand-overs and streams carry route, place and times.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -21,6 +21,9 @@
 
 /// Translates heads of messages. Everything else treats headers as opaque.
 pub trait Dialect {
+    /// The id of the caller's attempt, for logs; empty where there is none.
+    fn attempt_id(&self, headers: &HeaderMap) -> String;
+
     /// Reads the head of a caller's request; an error names what is wrong with it.
     fn read_request(&self, headers: &HeaderMap) -> Result<RequestFacts, String>;
 
--- a/components/gateway/src/shell/callers.rs
+++ b/components/gateway/src/shell/callers.rs
@@ -205,13 +205,10 @@
             return build_refusal(&refusal, true);
         }
     };
-    let admitted = shared.admit(incoming, arrived);
-    let (id, tier, served) = match admitted {
-        Ok(call) => {
-            let (id, tier) = (call.facts.attempt_id.clone(), call.rank.route_tier);
-            (id, Some(tier), exchange::serve(&shared, call).await)
-        }
-        Err(refusal) => (String::new(), None, Err(refusal)),
+    let id = shared.dialect.attempt_id(&incoming.headers);
+    let (tier, served) = match shared.admit(incoming, arrived) {
+        Ok(call) => (Some(call.rank.route_tier), exchange::serve(&shared, call).await),
+        Err(refusal) => (None, Err(refusal)),
     };
     let elapsed = shared.clock.now().saturating_duration_since(arrived);
     let close = shared.is_stopping();
--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -1,7 +1,7 @@
 //! Serves one request: finds places for it, hands it over, and decides what follows.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use errors::{Outcome, Refusal, ResultCode};
 use log::info;
@@ -87,10 +87,7 @@
         }
         let instance = seat.assignment().instance.clone();
         let next = decide(ended, chances(&call, &tried));
-        info!(
-            "request.next id={} instance={instance} ended={ended:?} hand_overs={} next={next:?}",
-            call.facts.attempt_id, tried.hand_overs
-        );
+        shared.log_next(&call, &tried, &seat, ended, next);
         let fallback = match next {
             Next::Relay => Fallback::Relay,
             Next::End(fallback) => fallback,
@@ -220,6 +217,22 @@
 }
 
 impl Shared {
+    /// Logs how a hand-over ended and what follows.
+    fn log_next(&self, call: &Call, tried: &Tried, seat: &Seat, ended: HandOver, next: Next) {
+        let now = self.clock.now();
+        let since = |at: Instant| at.saturating_duration_since(call.arrived).as_millis();
+        let place = seat.assignment();
+        info!(
+            "request.next id={} route={} instance={} ended={ended:?} next={next:?} hand_overs={} placed_ms={} ended_ms={}",
+            call.facts.attempt_id,
+            call.route.name,
+            place.instance,
+            tried.hand_overs,
+            since(place.at),
+            since(now),
+        );
+    }
+
     fn count_hand_over(&self, call: &Call, tried: &mut Tried) {
         if tried.hand_overs == 0 {
             self.budget.borrow_mut().count_request(&call.service, self.clock.now());
--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -190,8 +190,9 @@
         let now = self.shared.clock.now();
         let since = |at: Instant| at.saturating_duration_since(self.call.arrived).as_millis();
         info!(
-            "stream.end id={} instance={} outcome={outcome} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} hand_overs={} placed_ms={} first_ms={} end_ms={} pieces={}",
+            "stream.end id={} route={} instance={} outcome={outcome} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} hand_overs={} placed_ms={} first_ms={} end_ms={} pieces={}",
             self.call.facts.attempt_id,
+            self.call.route.name,
             self.seat.assignment().instance,
             self.call.rank.tier,
             self.call.rank.route_tier,
