--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -8,9 +8,13 @@
 use crate::model::{Allowance, AllowanceUnit, RequestFacts};
 use crate::scheduler::SMALL_GROUP;
 
-/// Part of its burst that a bucket holds when a process meets the customer, and at most. In a small
-/// group the burst is granted evenly over the operators' window beside.
-const HELD_BURST: f64 = 0.3;
+/// Part of its burst that a bucket holds when a process meets the customer, and at most, in a small
+/// group. The burst is granted evenly over the operators' window beside.
+const HELD_BURST: f64 = 0.5;
+
+/// The same in a large group, where the rest of the burst covers what many entries grant before they
+/// hear of each other.
+const HELD_BURST_OF_MANY: f64 = 0.3;
 
 /// Part of what a bucket holds at most below which its customer is short: entries have to hear of
 /// each other's grants soon then.
@@ -58,6 +62,8 @@
 #[derive(Debug)]
 struct Bucket {
     allowance: Allowance,
+    /// The most that it holds.
+    held: f64,
     level: f64,
     filled_at: Instant,
     granted: f64,
@@ -178,8 +184,7 @@
 
     /// Whether any customer is short.
     pub fn is_short(&self) -> bool {
-        let is_short =
-            |bucket: &Bucket| bucket.level < bucket.allowance.burst * HELD_BURST * SHORT_SHARE;
+        let is_short = |bucket: &Bucket| bucket.level < bucket.held * SHORT_SHARE;
         self.buckets.values().any(is_short)
     }
 
@@ -207,19 +212,24 @@
         let entries = self.peers.len() + 1;
         let silent = self.silent_peers(now);
         let heard_share = 1.0 - silent as f64 / entries as f64;
+        let (held, spread_burst) = if entries > SMALL_GROUP {
+            (allowance.burst * HELD_BURST_OF_MANY, 0.0)
+        } else {
+            (allowance.burst * HELD_BURST, allowance.burst)
+        };
         let bucket = self.buckets.entry(customer).or_insert_with(|| Bucket {
             allowance,
-            level: allowance.burst * HELD_BURST * heard_share,
+            held,
+            level: held * heard_share,
             filled_at: now,
             granted: 0.0,
         });
         let elapsed = now.saturating_duration_since(bucket.filled_at).as_secs_f64();
         bucket.filled_at = now;
         bucket.allowance = allowance;
-        // Many entries grant more before they hear of each other; the rest of the burst covers it.
-        let spread_burst = if entries > SMALL_GROUP { 0.0 } else { allowance.burst };
+        bucket.held = held;
         let per_second = allowance.per_second + spread_burst / tolerance.window.as_secs_f64();
         let gained = elapsed * per_second * heard_share;
-        bucket.level = (bucket.level + gained).min(allowance.burst * HELD_BURST);
+        bucket.level = (bucket.level + gained).min(held);
     }
 }
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -364,6 +364,9 @@
                 self.until_lower = self.until_lower.saturating_sub(1);
             }
         }
+        for (waiter, job) in self.queue.excess(now) {
+            woken.push(self.refuse_waiter(waiter, &job, now));
+        }
         woken
     }
 
@@ -380,14 +383,14 @@
 
     /// Refuses what has waited in vain.
     fn give_up(&mut self, now: Instant) -> Vec<Woken> {
-        let mut refused = Vec::new();
-        for (waiter, job) in self.queue.overdue(now) {
-            self.queue.remove(waiter);
-            let retry_after = self.queue.expected_wait(&job, now);
-            let refusal = Refused { reason: RefusedBecause::Full, retry_after };
-            refused.push(Woken::Refuse(waiter, refusal));
-        }
-        refused
+        let overdue = self.queue.overdue(now);
+        overdue.iter().map(|(waiter, job)| self.refuse_waiter(*waiter, job, now)).collect()
+    }
+
+    fn refuse_waiter(&mut self, waiter: WaiterId, job: &Job, now: Instant) -> Woken {
+        self.queue.remove(waiter);
+        let retry_after = self.queue.expected_wait(job, now);
+        Woken::Refuse(waiter, Refused { reason: RefusedBecause::Full, retry_after })
     }
 
     /// Takes a request out of the queue.
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -24,6 +24,13 @@
 /// Least rate that is reckoned with.
 const LEAST_RATE: f64 = 0.5;
 
+/// Longest time for which a queue holds requests, at the rate at which they find places: callers of
+/// streams give up after two seconds.
+const QUEUE_SPAN: Duration = Duration::from_millis(1_000);
+
+/// Requests that a queue holds at any rate.
+const LEAST_QUEUE: f64 = 3.0;
+
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiting: HashMap<WaiterId, Job>,
@@ -86,8 +93,7 @@
     /// How long a request would wait: those of its own rank at the rate at which that rank finds
     /// places now, which shows what higher ranks leave over.
     pub(super) fn expected_wait(&self, job: &Job, now: Instant) -> Duration {
-        let rate = self.rates.get(&(job.service.clone(), job.rank));
-        let rate = rate.map_or(INITIAL_RATE, |rate| rate.decayed(now)).max(LEAST_RATE);
+        let rate = self.rate(&job.service, job.rank, now);
         let own = Order::of(job, now);
         let ahead = self
             .of_service(&job.service)
@@ -117,6 +123,29 @@
         overdue.map(|(id, job)| (*id, job.clone())).collect()
     }
 
+    /// Requests beyond what can find a place in time, by service and rank: those that would be served
+    /// last. They are better told at once than after a wait.
+    pub(super) fn excess(&self, now: Instant) -> Vec<(WaiterId, Job)> {
+        let mut room: HashMap<(&str, Rank), f64> = HashMap::new();
+        let mut excess = Vec::new();
+        for waiter in self.in_order(now) {
+            let job = &self.waiting[&waiter];
+            let room = room.entry((&job.service, job.rank)).or_insert_with(|| {
+                LEAST_QUEUE + self.rate(&job.service, job.rank, now) * QUEUE_SPAN.as_secs_f64()
+            });
+            *room -= 1.0;
+            if *room < 0.0 {
+                excess.push((waiter, job.clone()));
+            }
+        }
+        excess
+    }
+
+    fn rate(&self, service: &str, rank: Rank, now: Instant) -> f64 {
+        let rate = self.rates.get(&(service.to_owned(), rank));
+        rate.map_or(INITIAL_RATE, |rate| rate.decayed(now)).max(LEAST_RATE)
+    }
+
     /// The first of the lowest rank that waits, if several ranks do.
     pub(super) fn first_of_lowest(&self, now: Instant) -> Option<WaiterId> {
         let lowest = self.waiting.values().map(|job| job.rank).max()?;
--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -131,6 +131,16 @@
         Ok(assignment) => Ok(Seat::new(shared.clone(), assignment)),
         Err(refused) => {
             let left = call.time_left(now);
+            info!(
+                "place.refused id={} route={} tier={} route_tier={} reason={:?} expected_wait_ms={} waited_ms={}",
+                call.facts.attempt_id,
+                call.route.name,
+                call.rank.tier,
+                call.rank.route_tier,
+                refused.reason,
+                refused.retry_after.as_millis(),
+                now.saturating_duration_since(call.arrived).as_millis(),
+            );
             Err(match refused.reason {
                 RefusedBecause::NoUpstream => {
                     shared.not_run(ResultCode::NoUpstream, honoured(refused.retry_after, left))
