--- a/components/gateway/tests/scheduler.rs
+++ b/components/gateway/tests/scheduler.rs
@@ -61,10 +61,11 @@
 }
 
 fn wait(scheduler: &mut Scheduler, job: Job, now: Instant) -> u64 {
-    match scheduler.offer(job, now) {
-        Offer::Wait(waiter) => waiter,
-        other => panic!("{other:?}"),
-    }
+    let waiter = match scheduler.offer(job, now) {
+        Offer::Wait(waiter) => Some(waiter),
+        Offer::Place(_) | Offer::Refuse(_) => None,
+    };
+    waiter.expect("it waits")
 }
 
 fn placed(woken: &[Woken]) -> Vec<u64> {
