Grant half of the burst evenly in large groups

Cause: with the leak at common starts mended, large groups kept more of the burst back than they need.

--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -16,6 +16,9 @@
 /// hear of each other.
 const HELD_BURST_OF_MANY: f64 = 0.3;
 
+/// Part of the burst that a large group grants evenly over the window.
+const SPREAD_BURST_OF_MANY: f64 = 0.5;
+
 /// Part of what a bucket holds at most below which its customer is short: entries have to hear of
 /// each other's grants soon then.
 const SHORT_SHARE: f64 = 0.6;
@@ -213,7 +216,7 @@
         let silent = self.silent_peers(now);
         let heard_share = 1.0 - silent as f64 / entries as f64;
         let (held, spread_burst) = if entries > SMALL_GROUP {
-            (allowance.burst * HELD_BURST_OF_MANY, 0.0)
+            (allowance.burst * HELD_BURST_OF_MANY, allowance.burst * SPREAD_BURST_OF_MANY)
         } else {
             (allowance.burst * HELD_BURST, allowance.burst)
         };
