Sum peers' loads once, and look at a bounded number of upstreams in large groups

Change: peers' loads are kept as a sum, changed by what a digest changes; upstreams are sorted by service, ownership and distance; an entry of a large group looks at those where it owns places, at most 24 more of its zone and 12 of others; a pass over waiting requests ends for a service once it has no place.

--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! tier, and is refused at once where it would wait in vain. No I/O: time and events come in,
 //! decisions come out.
 
+mod candidates;
 mod job;
 mod place;
 mod queue;
@@ -21,6 +22,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::model::{InstanceId, Places, Upstream};
+use candidates::Candidates;
 use queue::Queue;
 use shares::Growth;
 use tracked::Tracked;
@@ -45,6 +47,14 @@
 /// Most remembered places.
 const AFFINITY_ENTRIES: usize = 4_096;
 
+fn track(upstream: &Upstream, heard: &HashMap<u64, HashMap<u32, Load>>, now: Instant) -> Tracked {
+    let mut tracked = Tracked::new(upstream.clone(), now);
+    for load in heard.values().filter_map(|loads| loads.get(&tracked.short_id)) {
+        tracked.others.add(*load);
+    }
+    tracked
+}
+
 /// All that is known of upstreams, and the requests that wait for them.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -52,6 +62,9 @@
     own_id: u64,
     entries: Vec<Entry>,
     upstreams: HashMap<InstanceId, Tracked>,
+    by_short_id: HashMap<u32, InstanceId>,
+    candidates: Candidates,
+    heard: HashMap<u64, HashMap<u32, Load>>,
     queue: Queue,
     owed: Owed,
     growth: Growth,
@@ -70,6 +83,9 @@
             own_id,
             entries: Vec::new(),
             upstreams: HashMap::new(),
+            by_short_id: HashMap::new(),
+            candidates: Candidates::default(),
+            heard: HashMap::new(),
             queue: Queue::default(),
             owed: Owed::default(),
             growth: Growth::default(),
@@ -100,10 +116,10 @@
                 }
                 Some(tracked) => {
                     freed.push(tracked.upstream.address);
-                    *tracked = Tracked::new(upstream.clone(), now);
+                    *tracked = track(upstream, &self.heard, now);
                 }
                 None => {
-                    let tracked = Tracked::new(upstream.clone(), now);
+                    let tracked = track(upstream, &self.heard, now);
                     self.upstreams.insert(upstream.instance.clone(), tracked);
                 }
             }
@@ -124,15 +140,15 @@
 
     fn share_places(&mut self) {
         let large_group = self.is_large_group();
+        let own_zone = &self.places.own_zone;
+        let neighbours: Vec<u64> = self
+            .entries
+            .iter()
+            .filter(|entry| entry.zone == *own_zone)
+            .map(|entry| entry.id)
+            .collect();
         for tracked in self.upstreams.values_mut() {
-            let zone = &tracked.upstream.zone;
-            let in_zone = *zone == self.places.own_zone;
-            let neighbours: Vec<u64> = self
-                .entries
-                .iter()
-                .filter(|entry| entry.zone == *zone)
-                .map(|entry| entry.id)
-                .collect();
+            let in_zone = tracked.upstream.zone == *own_zone;
             let slots = tracked.upstream.slots;
             tracked.own_share = if large_group && in_zone {
                 shares::own_share(tracked.short_id, slots, self.own_id, &neighbours)
@@ -142,6 +158,9 @@
             tracked.kept_clear =
                 if large_group && !in_zone { shares::kept_clear(slots) } else { 0 };
         }
+        self.candidates = Candidates::new(self.upstreams.values(), &self.places);
+        let short_id = |tracked: &Tracked| (tracked.short_id, tracked.upstream.instance.clone());
+        self.by_short_id = self.upstreams.values().map(short_id).collect();
     }
 
     /// Takes in what a peer has in flight and what waits there; replaces what it said before.
@@ -155,22 +174,38 @@
         if !self.is_large_group() {
             self.owed.hear(peer, waiting, self.entries.len() + 1);
         }
-        for tracked in self.upstreams.values_mut() {
-            if replaced.contains(&tracked.short_id) {
+        self.forget_loads(peer);
+        for (short_id, load) in loads {
+            if let Some(tracked) = self.tracked_by(*short_id) {
+                tracked.others.add(*load);
+            }
+        }
+        self.heard.insert(peer, loads.clone());
+        for short_id in replaced {
+            if let Some(tracked) = self.tracked_by(*short_id) {
                 tracked.is_gone = true;
             }
-            match loads.get(&tracked.short_id) {
-                Some(load) => tracked.peers.insert(peer, *load),
-                None => tracked.peers.remove(&peer),
-            };
+        }
+    }
+
+    fn tracked_by(&mut self, short_id: u32) -> Option<&mut Tracked> {
+        self.upstreams.get_mut(self.by_short_id.get(&short_id)?)
+    }
+
+    fn forget_loads(&mut self, peer: u64) {
+        for (short_id, load) in self.heard.remove(&peer).unwrap_or_default() {
+            if let Some(tracked) = self.tracked_by(short_id) {
+                tracked.others.take_off(load);
+            }
         }
     }
 
     /// Forgets what peers that are gone had in flight.
     pub fn keep_peers(&mut self, is_member: impl Fn(u64) -> bool) {
         self.owed.keep_peers(&is_member);
-        for tracked in self.upstreams.values_mut() {
-            tracked.peers.retain(|peer, _| is_member(*peer));
+        let gone: Vec<u64> = self.heard.keys().copied().filter(|peer| !is_member(*peer)).collect();
+        for peer in gone {
+            self.forget_loads(peer);
         }
     }
 
@@ -207,7 +242,7 @@
 
     /// Whether any upstream of a service is known.
     pub fn knows_service(&self, service: &str) -> bool {
-        self.upstreams.values().any(|tracked| tracked.upstream.service == service)
+        self.candidates.knows(service)
     }
 
     /// Finds a place for a request, lets it wait for one, or refuses it.
@@ -239,11 +274,17 @@
             woken.push(self.place_waiter(waiter, &job, &instance, now));
             self.until_lower = PLACES_BETWEEN_LOWER;
         }
+        let mut full: HashSet<String> = HashSet::new();
         for waiter in self.queue.in_order(now) {
             let Some(job) = self.queue.job(waiter).cloned() else { continue };
+            if full.contains(&job.service) {
+                continue;
+            }
             if let Some(instance) = self.find(&job, now) {
                 woken.push(self.place_waiter(waiter, &job, &instance, now));
                 self.until_lower = self.until_lower.saturating_sub(1);
+            } else if job.excluded.is_empty() {
+                full.insert(job.service);
             }
         }
         for (waiter, job) in self.queue.excess(now) {
--- a/components/gateway/src/scheduler/place.rs
+++ b/components/gateway/src/scheduler/place.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::tracked::Tracked;
-use super::{AFFINITY_MEMORY, Job, Scheduler, shares};
+use super::{AFFINITY_MEMORY, Job, Scheduler};
 use crate::model::{Distance, InstanceId};
 
 /// When to come back where no upstream of the service is known: a worker's announcement takes about
@@ -46,9 +46,14 @@
         let growth = if large_group { self.growth.factor() } else { 1.0 };
         let mut best: Option<(f64, InstanceId)> = None;
         let mut fallback: Option<(f64, InstanceId)> = None;
-        for (instance, tracked) in &self.upstreams {
-            if tracked.upstream.service != job.service
-                || tracked.upstream.draining
+        let looked_at = if large_group {
+            self.candidates.some(&job.service, &mut self.rng)
+        } else {
+            self.candidates.all(&job.service)
+        };
+        for instance in &looked_at {
+            let Some(tracked) = self.upstreams.get(instance) else { continue };
+            if tracked.upstream.draining
                 || tracked.is_gone
                 || job.excluded.contains(instance)
                 || !tracked.has_place(growth, now)
@@ -56,12 +61,6 @@
                 continue;
             }
             let distance = self.places.distance_to(&tracked.upstream.zone);
-            if large_group
-                && !tracked.has_own_place()
-                && self.rng.random::<f64>() > shares::sampled(distance)
-            {
-                continue;
-            }
             let holds_session = session.as_ref() == Some(instance);
             let chance = 1.0 + SPREAD * (self.rng.random::<f64>() - 0.5);
             let score = score_ms(tracked, job, holds_session, distance, now) * chance;
--- a/components/gateway/src/scheduler/shares.rs
+++ b/components/gateway/src/scheduler/shares.rs
@@ -9,8 +9,6 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::model::Distance;
-
 /// Most entries that share all places.
 pub const SMALL_GROUP: usize = 10;
 
@@ -18,13 +16,6 @@
 /// many as others may take between two digests.
 const KEPT_CLEAR_SHARE: f64 = 0.25;
 
-/// Parts of the upstreams that an entry of a large group looks at for a place that it doesn't own. All
-/// would choose the same best one otherwise, before any hears of the others' choice. Entries of one
-/// zone are few and hear of each other soon.
-const SAMPLED_SAME_ZONE: f64 = 0.7;
-const SAMPLED_SAME_REGION: f64 = 0.25;
-const SAMPLED_OTHER_REGION: f64 = 0.1;
-
 /// Age of what is known of other entries' work in a large group, from their digests' period.
 const KNOWLEDGE_AGE: Duration = Duration::from_millis(500);
 
@@ -70,15 +61,6 @@
     (f64::from(slots) * KEPT_CLEAR_SHARE).round() as u32
 }
 
-/// Part of the upstreams at a distance that are looked at.
-pub(super) fn sampled(distance: Distance) -> f64 {
-    match distance {
-        Distance::SameZone => SAMPLED_SAME_ZONE,
-        Distance::SameRegion => SAMPLED_SAME_REGION,
-        Distance::OtherRegion => SAMPLED_OTHER_REGION,
-    }
-}
-
 fn weight(upstream: u32, slot: u32, entry: u64) -> u64 {
     let mut key = [0; 16];
     key[..4].copy_from_slice(&upstream.to_le_bytes());
--- a/components/gateway/src/scheduler/tracked.rs
+++ b/components/gateway/src/scheduler/tracked.rs
@@ -39,12 +39,25 @@
     pub backlog_tokens: u32,
 }
 
+impl Load {
+    pub(super) fn add(&mut self, other: Load) {
+        self.running = self.running.saturating_add(other.running);
+        self.backlog_tokens = self.backlog_tokens.saturating_add(other.backlog_tokens);
+    }
+
+    pub(super) fn take_off(&mut self, other: Load) {
+        self.running = self.running.saturating_sub(other.running);
+        self.backlog_tokens = self.backlog_tokens.saturating_sub(other.backlog_tokens);
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Tracked {
     pub(super) upstream: Upstream,
     pub(super) short_id: u32,
     pub(super) own: Load,
-    pub(super) peers: HashMap<u64, Load>,
+    /// What all peers said that they have in flight here.
+    pub(super) others: Load,
     pub(super) speed: Speed,
     pub(super) heard_at: Instant,
     failure_rate: f64,
@@ -72,7 +85,7 @@
             short_id: short_id(&upstream),
             upstream,
             own: Load::default(),
-            peers: HashMap::new(),
+            others: Load::default(),
             speed: Speed::default(),
             heard_at: now,
             failure_rate: 0.0,
@@ -99,8 +112,7 @@
 
     /// Requests in flight from other entries, if these have grown since they told.
     fn others_running(&self, growth: f64) -> u32 {
-        let told: u32 = self.peers.values().map(|load| load.running).sum();
-        (f64::from(told) * growth).round() as u32
+        (f64::from(self.others.running) * growth).round() as u32
     }
 
     /// Whether a place is free and not left to another entry.
@@ -124,8 +136,7 @@
 
     /// Prompt tokens that all entries wait for.
     pub(super) fn backlog_tokens(&self) -> u64 {
-        let peers: u64 = self.peers.values().map(|load| u64::from(load.backlog_tokens)).sum();
-        u64::from(self.own.backlog_tokens) + peers
+        u64::from(self.own.backlog_tokens) + u64::from(self.others.backlog_tokens)
     }
 
     pub(super) fn failure_rate(&self) -> f64 {
