--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -57,6 +57,14 @@
 
 impl std::error::Error for BrokenStream {}
 
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.source.is_some() {
+            self.log_end("caller_left");
+        }
+    }
+}
+
 enum Read {
     Events(Bytes),
     End,
@@ -103,10 +111,14 @@
                 RelayStart::Events(relay)
             }
             Read::Broken(reason) => {
+                relay.source = None;
                 relay.shared.note_failure(&relay.call, &mut relay.seat, &reason);
                 RelayStart::Broken
             }
-            Read::OutOfTime => RelayStart::OutOfTime,
+            Read::OutOfTime => {
+                relay.source = None;
+                RelayStart::OutOfTime
+            }
         }
     }
 
@@ -142,6 +154,7 @@
                 }
                 Read::Broken(reason) => reason,
                 Read::OutOfTime => {
+                    self.source = None;
                     self.log_end("timeout");
                     return Some(Err(BrokenStream));
                 }
