Free a place whose caller leaves between getting it and taking it

Cause: read, not seen: a waiting request whose caller closed its connection after the place was sent to it and before its task ran dropped the place without freeing it; it would have counted as taken until the process ended. No test brings the two into the same turn of the thread.

Change: the spot in the queue holds the receiver and frees what is left in it.

--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -11,7 +11,7 @@
 use super::hand_over::{Began, SharedRef, Started, read_body};
 use super::relay::{Relay, RelayStart};
 use super::seat::Seat;
-use super::state::{Shared, Waiting};
+use super::state::{PlaceReceiver, Shared, Waiting};
 use crate::model::InstanceId;
 use crate::outcome::{Chances, Fallback, HandOver, Next, decide};
 use crate::scheduler::{Ending, Job, RefusedBecause, WaiterId};
@@ -40,15 +40,20 @@
     pub(super) used: u32,
 }
 
-/// Takes a request out of the queue when its caller leaves.
+/// Takes a request out of the queue when its caller leaves, and frees a place that was given to it and
+/// not yet taken.
 struct QueueSpot {
     shared: SharedRef,
     waiter: WaiterId,
+    receiver: PlaceReceiver,
 }
 
 impl Drop for QueueSpot {
     fn drop(&mut self) {
         self.shared.withdraw_waiter(self.waiter);
+        if let Ok(Ok(unclaimed)) = self.receiver.try_recv() {
+            Seat::new(self.shared.clone(), unclaimed).end(Ending::Abandoned);
+        }
     }
 }
 
@@ -120,9 +125,8 @@
         Ok(assignment) => return Ok(Seat::new(shared.clone(), assignment)),
         Err(Waiting::Refused(refused)) => Err(refused),
         Err(Waiting::For(waiter, receiver)) => {
-            let spot = QueueSpot { shared: shared.clone(), waiter };
-            let received = receiver.await;
-            drop(spot);
+            let mut spot = QueueSpot { shared: shared.clone(), waiter, receiver };
+            let received = (&mut spot.receiver).await;
             received.map_err(|_| Refusal::not_run(ResultCode::Internal))?
         }
     };
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -275,10 +275,13 @@
     }
 }
 
+/// Gets the place of a request that waits, or why it gets none.
+pub(super) type PlaceReceiver = oneshot::Receiver<Result<Assignment, Refused>>;
+
 /// Why a request has no place yet.
 pub(super) enum Waiting {
     /// It waits; the receiver gets the place.
-    For(WaiterId, oneshot::Receiver<Result<Assignment, Refused>>),
+    For(WaiterId, PlaceReceiver),
     /// It gets none.
     Refused(Refused),
 }
