--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,4 +21,4 @@
 mod shell;
 
 pub use settings::Settings;
-pub use shell::{Directory, Gateway, GatewayHandle};
+pub use shell::{BoundAddresses, Directory, Gateway, GatewayHandle};
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -13,6 +13,7 @@
 mod seat;
 mod state;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,10 +83,24 @@
     pub clock: Arc<dyn Clock>,
 }
 
+/// Addresses that a gateway has bound; where its settings ask for port 0 they name the port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BoundAddresses {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the process takes work.
+    pub readiness: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Where digests of other entries arrive, over UDP.
+    pub digests: SocketAddr,
+}
+
 /// A gateway that runs.
 #[derive(Clone)]
 pub struct GatewayHandle {
     shared: Rc<Shared>,
+    addresses: BoundAddresses,
 }
 
 impl Gateway {
@@ -96,8 +111,14 @@
         let readiness = bind(settings.readiness_listen).await?;
         let internal = bind(settings.internal_listen).await?;
         let datagrams = peering::bind(settings.internal_listen).await?;
+        let addresses = BoundAddresses {
+            callers: callers.local_addr()?,
+            readiness: readiness.local_addr()?,
+            metrics: internal.local_addr()?,
+            digests: datagrams.local_addr()?,
+        };
         let shared = Rc::new(Shared::new(self)?);
-        let handle = GatewayHandle { shared: shared.clone() };
+        let handle = GatewayHandle { shared: shared.clone(), addresses };
         tokio::task::spawn_local(callers::serve(shared.clone(), callers));
         tokio::task::spawn_local(readiness::serve(shared.clone(), readiness));
         tokio::task::spawn_local(metrics::serve(shared.clone(), internal));
@@ -107,7 +128,7 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("{address}: cannot be bound"))
 }
 
@@ -122,6 +143,11 @@
 }
 
 impl GatewayHandle {
+    /// The addresses that were bound.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
     /// What the adapter reports to.
     pub fn directory(&self) -> Rc<dyn Directory> {
         self.shared.clone()
