--- a/components/gateway/src/allowance.rs
+++ b/components/gateway/src/allowance.rs
@@ -5,8 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Allowance, AllowanceUnit, RequestFacts};
-use crate::scheduler::SMALL_GROUP;
+use crate::model::{Allowance, AllowanceUnit, PeerId, RequestFacts};
+
+/// Most entries that hear of each other's grants at once; more tell each other less often.
+pub const SMALL_GROUP: usize = 10;
 
 /// Part of its burst that a bucket holds when a process meets the customer, and at most, in a small
 /// group. The burst is granted evenly over the operators' window beside.
@@ -36,9 +38,6 @@
 /// Silence of a peer after which its use is estimated instead of heard; several digests long.
 const PEER_SILENCE: Duration = Duration::from_millis(1_600);
 
-/// Names a peer's process.
-pub type PeerId = u64;
-
 /// What an allowance counts a request as.
 pub fn cost(unit: AllowanceUnit, facts: &RequestFacts) -> f64 {
     match unit {
--- /dev/null
+++ b/components/gateway/src/broker/message.rs
@@ -0,0 +1,195 @@
+//! What entries and brokers send each other, in datagrams that may be lost or come twice.
+
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{PeerId, ServiceId, UpstreamId};
+use crate::peers::Digest;
+use crate::scheduler::{Job, KindId, Observed, Rank, Refused};
+
+/// Names a request at its entry.
+pub type Ticket = u32;
+
+/// A request that asks for a place. Times are relative to the sending, since hosts' clocks differ.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AskedJob {
+    /// The service that serves it.
+    pub service: ServiceId,
+    /// Its route.
+    pub kind: KindId,
+    /// How important it is.
+    pub rank: Rank,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Output tokens that are expected.
+    pub output_tokens: u32,
+    /// Output tokens in each event.
+    pub tokens_per_event: u32,
+    /// The last part of its prompt.
+    pub session_part: Option<u64>,
+    /// Whether it has no further try.
+    pub returning: bool,
+    /// How long ago it came.
+    pub waited_ms: u32,
+    /// Time until the objective; 0 once that has passed.
+    pub objective_left_ms: u32,
+    /// The longest pause between events.
+    pub pause_objective_ms: Option<u32>,
+    /// How long it may still wait for a place.
+    pub wait_left_ms: u32,
+    /// Time left for the whole answer.
+    pub time_left_ms: u32,
+    /// Upstreams that it must not go to.
+    pub excluded: Vec<UpstreamId>,
+    /// Upstreams that its entry can hardly reach.
+    pub doubtful: Vec<UpstreamId>,
+}
+
+fn whole_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn from_ms(milliseconds: u32) -> Duration {
+    Duration::from_millis(milliseconds.into())
+}
+
+impl AskedJob {
+    /// Describes a job as of now.
+    pub fn of_job(job: &Job, now: Instant) -> AskedJob {
+        let left = |until: Instant| whole_ms(until.saturating_duration_since(now));
+        AskedJob {
+            service: job.service,
+            kind: job.kind,
+            rank: job.rank,
+            prompt_tokens: job.prompt_tokens,
+            output_tokens: job.output_tokens,
+            tokens_per_event: job.tokens_per_event,
+            session_part: job.session_part,
+            returning: job.returning,
+            waited_ms: whole_ms(now.saturating_duration_since(job.arrived)),
+            objective_left_ms: left(job.objective_at),
+            pause_objective_ms: job.pause_objective.map(whole_ms),
+            wait_left_ms: left(job.wait_until),
+            time_left_ms: left(job.limit_at),
+            excluded: job.excluded.clone(),
+            doubtful: job.doubtful.clone(),
+        }
+    }
+
+    /// The job, in an entry of `zone`, as of now.
+    pub fn to_job(&self, zone: Rc<str>, now: Instant) -> Job {
+        Job {
+            service: self.service,
+            kind: self.kind,
+            rank: self.rank,
+            zone,
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            tokens_per_event: self.tokens_per_event,
+            session_part: self.session_part,
+            returning: self.returning,
+            arrived: now.checked_sub(from_ms(self.waited_ms)).unwrap_or(now),
+            objective_at: now + from_ms(self.objective_left_ms),
+            pause_objective: self.pause_objective_ms.map(from_ms),
+            wait_until: now + from_ms(self.wait_left_ms),
+            limit_at: now + from_ms(self.time_left_ms),
+            excluded: self.excluded.clone(),
+            doubtful: self.doubtful.clone(),
+        }
+    }
+}
+
+/// What became of a request for a place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It has one.
+    Granted {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// It waits; another verdict follows.
+    Queued,
+    /// It gets none.
+    Refused(Refused),
+    /// This entry is no broker of the service now.
+    NotHere,
+}
+
+/// A datagram between entries.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// What an entry tells all others.
+    Digest(Digest),
+    /// An entry asks a broker for a place.
+    Ask {
+        /// The entry.
+        from: PeerId,
+        /// Its request.
+        ticket: Ticket,
+        /// What the request needs.
+        job: AskedJob,
+    },
+    /// A broker answers.
+    Verdict {
+        /// The broker.
+        from: PeerId,
+        /// The request.
+        ticket: Ticket,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// An entry gives a place back, or no longer wants one.
+    Release {
+        /// The entry.
+        from: PeerId,
+        /// Its request.
+        ticket: Ticket,
+        /// What was seen of the upstream.
+        observed: Observed,
+    },
+    /// All places that an entry holds.
+    Holdings {
+        /// The entry.
+        from: PeerId,
+        /// Its requests that hold a place, and where.
+        places: Vec<(Ticket, UpstreamId)>,
+    },
+}
+
+/// The bytes are no message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MessageError(String);
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "not a message: {}", self.0)
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+impl Message {
+    /// The bytes of a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
+        postcard::to_stdvec(self).map_err(|error| MessageError(error.to_string()))
+    }
+
+    /// Reads a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+        postcard::from_bytes(bytes).map_err(|error| MessageError(error.to_string()))
+    }
+
+    /// The process that sent it.
+    pub fn from(&self) -> PeerId {
+        match self {
+            Message::Digest(digest) => digest.from,
+            Message::Ask { from, .. }
+            | Message::Verdict { from, .. }
+            | Message::Release { from, .. }
+            | Message::Holdings { from, .. } => *from,
+        }
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,11 +1,13 @@
 //! The entry in front of upstreams that callers reach without an agent between.
 //!
-//! Decisions (`routes`, `customers`, `allowance`, `budget`, `scheduler`, `roster`, `outcome`,
-//! `freshness`) do no I/O: facts and the time come in, decisions come out. `shell` carries them out
+//! Decisions (`routes`, `customers`, `allowance`, `budget`, `scheduler`, `broker`, `contact`,
+//! `roster`, `reading`, `outcome`, `freshness`) do no I/O: facts and the time come in, decisions come out. `shell` carries them out
 //! on one thread. The adapter of a platform implements `Dialect` and feeds `Directory`.
 
 pub mod allowance;
+pub mod broker;
 pub mod budget;
+pub mod contact;
 pub mod customers;
 pub mod dialect;
 pub mod events;
--- a/components/gateway/src/model/mod.rs
+++ b/components/gateway/src/model/mod.rs
@@ -4,10 +4,13 @@
 mod request;
 mod upstream;
 
+/// Names an entry's process; differs at each start.
+pub type PeerId = u64;
+
 pub use configuration::{
     Allowance, AllowanceUnit, CallerLimits, Configuration, Customer, Engine, Route, RouteKind,
     Target,
 };
 pub use request::{AnswerFacts, PromptPart, RequestFacts};
 pub(crate) use upstream::Distance;
-pub use upstream::{InstanceId, Places, Upstream};
+pub use upstream::{InstanceId, Places, ServiceId, Upstream, UpstreamId};
--- a/components/gateway/src/model/upstream.rs
+++ b/components/gateway/src/model/upstream.rs
@@ -4,9 +4,31 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
 /// Names one lifetime of an upstream.
 pub type InstanceId = Rc<str>;
 
+/// Names an upstream's lifetime between entries, in four bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UpstreamId(pub u32);
+
+/// Names a service between entries, in four bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServiceId(u32);
+
+impl ServiceId {
+    /// The id of a service.
+    pub fn of(name: &str) -> ServiceId {
+        ServiceId(xxh3_64(name.as_bytes()) as u32)
+    }
+
+    pub(crate) fn number(self) -> u32 {
+        self.0
+    }
+}
+
 /// One instance of an upstream, as it announces itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Upstream {
@@ -26,6 +48,15 @@
     pub draining: bool,
 }
 
+impl Upstream {
+    /// Names this lifetime at this address.
+    pub fn id(&self) -> UpstreamId {
+        let Upstream { instance, started_unix_ms, address, .. } = self;
+        let name = format!("{instance}/{started_unix_ms}/{address}");
+        UpstreamId(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
 /// Which region each availability zone belongs to, and where this process stands.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Places {
@@ -44,11 +75,11 @@
 }
 
 impl Places {
-    pub(crate) fn distance_to(&self, zone: &str) -> Distance {
-        if zone == self.own_zone {
+    pub(crate) fn distance(&self, from: &str, to: &str) -> Distance {
+        if from == to {
             return Distance::SameZone;
         }
-        match (self.regions.get(zone), self.regions.get(&self.own_zone)) {
+        match (self.regions.get(from), self.regions.get(to)) {
             (Some(theirs), Some(ours)) if theirs == ours => Distance::SameRegion,
             _ => Distance::OtherRegion,
         }
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -1,14 +1,12 @@
-//! The message that entries send each other.
-
-use std::fmt;
+//! What entries tell each other regularly.
 
 use serde::{Deserialize, Serialize};
 
-use crate::allowance::{Granted, PeerId};
-use crate::scheduler::{Load, Waiting};
+use crate::allowance::Granted;
+use crate::model::PeerId;
 
-/// What an entry has in flight and has granted. Each digest stands alone, so that a lost one costs
-/// nothing but age.
+/// What an entry knows of the store and has granted. Each digest stands alone, so that a lost one
+/// costs nothing but age.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's process.
@@ -23,36 +21,6 @@
     pub confirmed_ms_ago: Option<u32>,
     /// The newest digests that the sender got from entries of its zone.
     pub echoes: Vec<(PeerId, u32)>,
-    /// Work in flight, by the short id of the upstream.
-    pub loads: Vec<(u32, Load)>,
-    /// Upstreams whose address belongs to another instance, by their short ids.
-    pub replaced: Vec<u32>,
-    /// Requests that wait.
-    pub waiting: Vec<Waiting>,
     /// What it says of customers' allowances.
     pub granted: Vec<Granted>,
 }
-
-/// The bytes are no digest.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DigestError(String);
-
-impl fmt::Display for DigestError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "not a digest: {}", self.0)
-    }
-}
-
-impl std::error::Error for DigestError {}
-
-impl Digest {
-    /// The bytes of a datagram.
-    pub fn encode(&self) -> Result<Vec<u8>, DigestError> {
-        postcard::to_stdvec(self).map_err(|error| DigestError(error.to_string()))
-    }
-
-    /// Reads a datagram.
-    pub fn decode(bytes: &[u8]) -> Result<Digest, DigestError> {
-        postcard::from_bytes(bytes).map_err(|error| DigestError(error.to_string()))
-    }
-}
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -1,24 +1,26 @@
-//! What entries tell each other: who is a member, what each has in flight and has granted.
+//! The other entries: who is a member, and whose digests are believed.
 
 mod digest;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-pub use digest::{Digest, DigestError};
+pub use digest::Digest;
 
-use crate::allowance::PeerId;
+use crate::model::PeerId;
 
-/// Silence after which what a peer had in flight is no longer counted; several digests long.
-const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
+/// Silence after which a member whose entry in the store is gone gets no digests; several digests
+/// long.
+const HEARD_MEMORY: Duration = Duration::from_millis(1_500);
 
 /// How long a member counts after its entry in the store is gone: it may still serve callers until
 /// it notices that the store no longer confirms its configuration.
 const LEAVING_MEMORY: Duration = Duration::from_secs(6);
 
 /// Another entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Member {
     /// Names its process.
     pub id: PeerId,
@@ -26,17 +28,38 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// The processor that it has, in cores.
+    pub cores: f64,
+}
+
+/// An entry that may broker.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Names its process.
+    pub id: PeerId,
+    /// The processor that it has, in cores: a larger one brokers more often.
+    pub cores: f64,
 }
 
 #[derive(Debug)]
 struct Known {
     address: SocketAddr,
-    zone: String,
+    zone: Rc<str>,
+    cores: f64,
     left_at: Option<Instant>,
     heard_at: Option<Instant>,
     sequence: u32,
 }
 
+impl Known {
+    /// Whether it serves callers. A process whose entry in the store is gone but that is heard does;
+    /// it only can't reach the store.
+    fn is_here(&self, now: Instant) -> bool {
+        let heard = |at| now.saturating_duration_since(at) < HEARD_MEMORY;
+        self.left_at.is_none() || self.heard_at.is_some_and(heard)
+    }
+}
+
 /// The other entries.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -57,7 +80,8 @@
         for member in members {
             let known = self.known.entry(member.id).or_insert(Known {
                 address: member.address,
-                zone: member.zone.clone(),
+                zone: member.zone.as_str().into(),
+                cores: member.cores,
                 left_at: None,
                 heard_at: None,
                 sequence: 0,
@@ -93,32 +117,28 @@
         self.known.contains_key(&id)
     }
 
-    /// Whether what a peer last said of its load still counts.
-    pub fn is_heard(&self, id: PeerId, now: Instant) -> bool {
-        let heard_at = self.known.get(&id).and_then(|known| known.heard_at);
-        heard_at.is_some_and(|at| now.saturating_duration_since(at) < LOAD_MEMORY)
+    /// Members that may broker, this process left out.
+    pub fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let here = self.known.iter().filter(|(_, known)| known.is_here(now));
+        here.map(|(id, known)| Candidate { id: *id, cores: known.cores }).collect()
     }
 
-    /// Members, this process left out.
-    pub fn ids(&self) -> impl Iterator<Item = PeerId> + '_ {
-        self.known.keys().copied()
+    /// A member's address and availability zone.
+    pub fn locate(&self, id: PeerId) -> Option<(SocketAddr, Rc<str>)> {
+        self.known.get(&id).map(|known| (known.address, known.zone.clone()))
     }
 
     /// The newest digest of each entry of a zone.
     pub fn heard_in(&self, zone: &str) -> Vec<(PeerId, u32)> {
-        let here = self.known.iter().filter(|(_, known)| known.zone == zone);
+        let here = self.known.iter().filter(|(_, known)| &*known.zone == zone);
         let heard = here.filter(|(_, known)| known.heard_at.is_some());
         heard.map(|(id, known)| (*id, known.sequence)).collect()
     }
 
-    /// Where digests go: to all, or to those of one availability zone. A process whose entry is gone
-    /// but that is heard still serves callers; it only can't reach the store.
+    /// Where digests go: to all, or to those of one availability zone.
     pub fn addresses(&self, zone: Option<&str>, now: Instant) -> Vec<SocketAddr> {
-        let here = self.known.values().filter(|known| {
-            let heard = |at| now.saturating_duration_since(at) < LOAD_MEMORY;
-            known.left_at.is_none() || known.heard_at.is_some_and(heard)
-        });
-        let wanted = here.filter(|known| zone.is_none_or(|zone| known.zone == zone));
+        let here = self.known.values().filter(|known| known.is_here(now));
+        let wanted = here.filter(|known| zone.is_none_or(|zone| &*known.zone == zone));
         wanted.map(|known| known.address).collect()
     }
 
--- a/components/gateway/src/scheduler/job.rs
+++ b/components/gateway/src/scheduler/job.rs
@@ -1,29 +1,38 @@
 //! What goes into the scheduler and what comes out of it.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::InstanceId;
+use crate::model::{InstanceId, ServiceId, UpstreamId};
 
 /// How important a request is; the least is the most important. A customer's own tier goes before
 /// its route's, which decides among requests of customers with the same tier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Rank {
-    /// The tier that counts.
+    /// The customer's tier, or the route's where the customer has none.
     pub tier: u8,
     /// The route's tier.
     pub route_tier: u8,
 }
 
+/// Names a route between entries: requests of one kind are alike in size and worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KindId(pub u32);
+
 /// What the scheduler needs to know of a request.
 #[derive(Debug, Clone)]
 pub struct Job {
     /// The service that serves it.
-    pub service: String,
+    pub service: ServiceId,
+    /// Its route.
+    pub kind: KindId,
     /// How important it is.
     pub rank: Rank,
+    /// The availability zone of the entry that has it.
+    pub zone: Rc<str>,
     /// Tokens of its prompt; 0 for a plain service.
     pub prompt_tokens: u32,
     /// Output tokens that are expected; 0 for a plain service.
@@ -32,6 +41,8 @@
     pub tokens_per_event: u32,
     /// The last part of its prompt, which the request's session shares.
     pub session_part: Option<u64>,
+    /// Whether its caller has been refused before and has no further try.
+    pub returning: bool,
     /// When it came.
     pub arrived: Instant,
     /// Until when an answer has its full worth.
@@ -42,47 +53,36 @@
     pub wait_until: Instant,
     /// Until when the whole answer must be there.
     pub limit_at: Instant,
-    /// Upstreams that it must not go to again.
-    pub excluded: Vec<InstanceId>,
-}
-
-/// Another entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
-    /// Names its process.
-    pub id: u64,
-    /// Its availability zone.
-    pub zone: String,
+    /// Upstreams that it must not go to.
+    pub excluded: Vec<UpstreamId>,
+    /// Upstreams that its entry can hardly reach: the last choice.
+    pub doubtful: Vec<UpstreamId>,
 }
 
 /// Names a request that waits.
 pub type WaiterId = u64;
 
-/// A place at an upstream. It counts as taken until `ended` is called.
-#[derive(Debug, Clone)]
-pub struct Assignment {
+/// Names a place that was given.
+pub type PlaceId = u64;
+
+/// A place at an upstream. It counts as taken until it is released.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Names it.
+    pub id: PlaceId,
     /// The upstream.
+    pub upstream: UpstreamId,
+    /// The upstream's own name.
     pub instance: InstanceId,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Prompt tokens that are counted at the upstream until the first event.
-    pub prompt_tokens: u32,
-    /// Output tokens that are expected.
-    pub output_tokens: u32,
-    /// When the place was given.
-    pub at: Instant,
-    pub(super) tokens_per_event: u32,
-    pub(super) last_event_at: Option<Instant>,
-    pub(super) backlog_tokens: u64,
-    pub(super) in_backlog: bool,
-    pub(super) ticket: u64,
 }
 
 /// What comes of offering a request.
 #[derive(Debug, Clone)]
 pub enum Offer {
     /// It has a place.
-    Place(Assignment),
+    Place(Place),
     /// It waits.
     Wait(WaiterId),
     /// It won't get a place in time.
@@ -90,7 +90,7 @@
 }
 
 /// Why a request gets no place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refused {
     /// What is in the way.
     pub reason: RefusedBecause,
@@ -99,7 +99,7 @@
 }
 
 /// What is in the way of a place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusedBecause {
     /// No upstream of the service is known.
     NoUpstream,
@@ -108,7 +108,7 @@
 }
 
 /// How a place ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
     /// With an answer.
     Served,
@@ -124,11 +124,29 @@
     Abandoned,
 }
 
+/// What was seen of an upstream while a place was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observed {
+    /// How it ended.
+    pub ending: Ending,
+    /// Time from the hand-over to the first event, or to the head of a plain answer.
+    pub first_event: Option<Duration>,
+    /// Time from the first event to the last, and the output tokens after the first event.
+    pub output: Option<(Duration, u32)>,
+}
+
+impl Observed {
+    /// Nothing was seen but the ending.
+    pub fn only(ending: Ending) -> Observed {
+        Observed { ending, first_event: None, output: None }
+    }
+}
+
 /// A request that stops waiting.
 #[derive(Debug, Clone)]
 pub enum Woken {
     /// It has a place.
-    Place(WaiterId, Assignment),
+    Place(WaiterId, Place),
     /// It waited in vain.
     Refuse(WaiterId, Refused),
 }
--- a/components/gateway/src/scheduler/place.rs
+++ b/components/gateway/src/scheduler/place.rs
@@ -2,11 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use rand::Rng;
-
+use super::speed::milliseconds;
 use super::tracked::Tracked;
-use super::{AFFINITY_MEMORY, Job, Scheduler};
-use crate::model::{Distance, InstanceId};
+use super::{Job, Scheduler};
+use crate::model::{Distance, UpstreamId};
 
 /// When to come back where no upstream of the service is known: a worker's announcement takes about
 /// as long to arrive.
@@ -24,9 +23,6 @@
 /// in a batch make each step slower.
 const FULL_BATCH_MS: f64 = 25.0;
 
-/// How far chance moves a score, so that entries with the same knowledge don't choose alike.
-const SPREAD: f64 = 0.15;
-
 /// How strongly a failure rate raises the score.
 const FAILURE_WEIGHT: f64 = 8.0;
 
@@ -34,34 +30,25 @@
 /// estimates of its length are off by as much for one in four.
 const SAFETY: f64 = 1.4;
 
-/// A fixed part of each score on which failures and chance act even at idle upstreams, in
-/// milliseconds.
+/// A fixed part of each score on which failures act even at idle upstreams, in milliseconds.
 const BASE_MS: f64 = 10.0;
 
 /// What comes of looking for a place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Choice {
     /// The best place that is free.
-    Place(InstanceId),
+    Place(UpstreamId),
     /// Places are free, but only at upstreams that would serve it worse than others would.
     NoneFits,
     /// No place is free.
     Full,
 }
 
-/// A usable upstream, looked at for a request.
-struct Candidate {
-    instance: InstanceId,
-    score_ms: f64,
-    has_place: bool,
-    fit: Fit,
-    /// Whether it may be out of reach.
-    doubtful: bool,
-}
-
 /// How well an upstream suits a request; the least suits best.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Fit {
+pub(super) struct Fit {
+    /// Its entry can hardly reach the upstream.
+    doubtful: bool,
     /// The answer would not be whole in time.
     too_slow: bool,
     /// Reading the prompt would hold up the streams that run there for longer than they may pause.
@@ -73,83 +60,70 @@
 impl Scheduler {
     /// The upstream with a free place at which the first event is expected soonest, among those that
     /// suit the request best, whether these have a free place or not.
-    pub(super) fn choose(&mut self, job: &Job, now: Instant) -> Choice {
-        let candidates = self.look(job, now);
-        let sound = candidates.iter().filter(|candidate| !candidate.doubtful);
-        let best_fit = sound.map(|candidate| candidate.fit).min();
-        let free = || candidates.iter().filter(|candidate| candidate.has_place);
-        let best = free()
-            .filter(|candidate| best_fit.is_none_or(|best| candidate.fit <= best))
-            .min_by(|a, b| a.doubtful.cmp(&b.doubtful).then(a.score_ms.total_cmp(&b.score_ms)));
-        match best {
-            Some(best) => Choice::Place(best.instance.clone()),
-            None if free().next().is_some() => Choice::NoneFits,
-            None => Choice::Full,
-        }
-    }
-
-    fn look(&mut self, job: &Job, now: Instant) -> Vec<Candidate> {
-        let session = self.session_place(job, now);
-        let large_group = self.is_large_group();
-        let growth = if large_group { self.growth.factor() } else { 1.0 };
-        let looked_at = if large_group {
-            self.candidates.some(&job.service, &mut self.rng)
-        } else {
-            self.candidates.all(&job.service)
-        };
-        let mut candidates = Vec::with_capacity(looked_at.len());
-        for instance in looked_at {
-            let Some(tracked) = self.upstreams.get(&instance) else { continue };
-            if tracked.upstream.draining || tracked.is_gone || job.excluded.contains(&instance) {
+    pub(super) fn choose(&self, job: &Job, now: Instant) -> Choice {
+        let mut best_fit: Option<Fit> = None;
+        let mut best_free: Option<(Fit, f64, UpstreamId)> = None;
+        for tracked in self.candidates(job, now) {
+            let fit = fit(tracked, job, now);
+            best_fit = Some(best_fit.map_or(fit, |best| best.min(fit)));
+            if !tracked.has_place() {
                 continue;
             }
-            let distance = self.places.distance_to(&tracked.upstream.zone);
-            let holds_session = session.as_ref() == Some(&instance);
-            let chance = 1.0 + SPREAD * (self.rng.random::<f64>() - 0.5);
-            let first_event_ms = expect_first_event_ms(tracked, job, holds_session);
-            candidates.push(Candidate {
-                score_ms: score_ms(tracked, first_event_ms, distance) * chance,
-                has_place: tracked.has_place(growth, now),
-                fit: fit(tracked, job, first_event_ms, now),
-                doubtful: tracked.is_paused(now) || tracked.is_silent(now),
-                instance,
-            });
+            let score_ms = self.score_ms(tracked, job, now);
+            let better =
+                |(best, least_ms, _): &(Fit, f64, UpstreamId)| (fit, score_ms) < (*best, *least_ms);
+            if best_free.as_ref().is_none_or(better) {
+                best_free = Some((fit, score_ms, tracked.id));
+            }
+        }
+        match (best_free, best_fit) {
+            (Some((fit, _, upstream)), Some(best)) if fit <= best => Choice::Place(upstream),
+            (Some(_), _) => Choice::NoneFits,
+            (None, _) => Choice::Full,
         }
-        candidates
     }
 
-    fn session_place(&self, job: &Job, now: Instant) -> Option<InstanceId> {
-        let (instance, at) = self.sessions.get(&job.session_part?)?;
-        (now.saturating_duration_since(*at) < AFFINITY_MEMORY).then(|| instance.clone())
+    /// Whether a request does as well at one upstream as at any other.
+    pub(super) fn suits(&self, tracked: &Tracked, job: &Job, now: Instant) -> bool {
+        let fit_here = fit(tracked, job, now);
+        self.candidates(job, now).all(|other| fit_here <= fit(other, job, now))
+    }
+
+    /// Whether a request may go to an upstream at all.
+    pub(super) fn may_use(&self, tracked: &Tracked, job: &Job, now: Instant) -> bool {
+        tracked.is_usable(now) && !job.excluded.contains(&tracked.id)
+    }
+
+    fn candidates<'a>(&'a self, job: &'a Job, now: Instant) -> impl Iterator<Item = &'a Tracked> {
+        let of_service = self.by_service.get(&job.service).into_iter().flatten();
+        let tracked = of_service.filter_map(|upstream| self.upstreams.get(upstream));
+        tracked.filter(move |tracked| self.may_use(tracked, job, now))
     }
-}
 
-/// Time until a first event, in milliseconds.
-fn expect_first_event_ms(tracked: &Tracked, job: &Job, holds_session: bool) -> f64 {
-    let own_tokens = if holds_session { 0 } else { u64::from(job.prompt_tokens) };
-    tracked.speed.expect_ms(tracked.backlog_tokens() + own_tokens)
+    fn score_ms(&self, tracked: &Tracked, job: &Job, now: Instant) -> f64 {
+        let held_tokens =
+            if self.holds_session(tracked.id, job, now) { job.prompt_tokens } else { 0 };
+        let first_event_ms = tracked.first_event_ms(job.prompt_tokens - held_tokens, now);
+        let batch = f64::from(tracked.running()) / f64::from(tracked.upstream.slots.max(1));
+        let way = match self.places.distance(&job.zone, &tracked.upstream.zone) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => OTHER_ZONE_MS,
+            Distance::OtherRegion => OTHER_REGION_MS,
+        };
+        let waiting = BASE_MS + first_event_ms + batch * FULL_BATCH_MS + way;
+        waiting * (1.0 + FAILURE_WEIGHT * tracked.failure_rate())
+    }
 }
 
-fn fit(tracked: &Tracked, job: &Job, first_event_ms: f64, now: Instant) -> Fit {
-    let left_ms = |until: Instant| until.saturating_duration_since(now).as_secs_f64() * 1_000.0;
-    let whole_ms = first_event_ms + tracked.speed.expect_output_ms(job.output_tokens);
-    let event_ms = tracked.speed.expect_output_ms(job.tokens_per_event);
-    let longest_pause_ms =
-        job.pause_objective.map_or(f64::INFINITY, |pause| pause.as_secs_f64() * 1_000.0);
+fn fit(tracked: &Tracked, job: &Job, now: Instant) -> Fit {
+    let left_ms = |until: Instant| milliseconds(until.saturating_duration_since(now));
+    let first_event_ms = tracked.first_event_ms(job.prompt_tokens, now);
+    let event_ms = tracked.speed.output_ms(job.tokens_per_event);
+    let longest_pause_ms = job.pause_objective.map_or(f64::INFINITY, milliseconds);
     Fit {
-        too_slow: whole_ms * SAFETY > left_ms(job.limit_at),
+        doubtful: job.doubtful.contains(&tracked.id),
+        too_slow: tracked.whole_ms(job, now) * SAFETY > left_ms(job.limit_at),
         disturbs: tracked.running() > 0 && first_event_ms + event_ms > longest_pause_ms,
         late: first_event_ms > left_ms(job.objective_at),
     }
 }
-
-fn score_ms(tracked: &Tracked, first_event_ms: f64, distance: Distance) -> f64 {
-    let batch = f64::from(tracked.running()) / f64::from(tracked.upstream.slots.max(1));
-    let way = match distance {
-        Distance::SameZone => 0.0,
-        Distance::SameRegion => OTHER_ZONE_MS,
-        Distance::OtherRegion => OTHER_REGION_MS,
-    };
-    let waiting = BASE_MS + first_event_ms + batch * FULL_BATCH_MS + way;
-    waiting * (1.0 + FAILURE_WEIGHT * tracked.failure_rate())
-}
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -1,10 +1,12 @@
-//! Requests that wait for a place.
+//! Requests that wait for a place, by service.
 
-use std::cmp::Ordering;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use super::worth::Worth;
 use super::{Job, Rank, WaiterId};
+use crate::model::ServiceId;
 
 /// Span over which placed requests are counted to tell how long a place takes.
 const RATE_SPAN: Duration = Duration::from_millis(1_000);
@@ -12,30 +14,34 @@
 /// Requests a second that are taken to find a place before any was counted.
 const INITIAL_RATE: f64 = 20.0;
 
-/// Prompt tokens that cost an engine as much as one output token. Reading a prompt token holds up the
-/// whole batch: on the users' engines a step takes 3 ms for some ten requests, and 60 to 100 prompt
-/// tokens are read in a millisecond.
-const PROMPT_TOKENS_PER_OUTPUT_TOKEN: f64 = 30.0;
-
-/// How much cheaper a request counts for each millisecond that it has waited, in output tokens; a
-/// token takes about four milliseconds in a full batch.
-const AGING_TOKENS_PER_MS: f64 = 0.25;
-
 /// Least rate that is reckoned with.
 const LEAST_RATE: f64 = 0.5;
 
-/// Longest time for which a queue holds requests, at the rate at which they find places: callers of
-/// streams give up after two seconds.
-const QUEUE_SPAN: Duration = Duration::from_millis(1_000);
-
 /// Requests that a queue holds at any rate.
-const LEAST_QUEUE: f64 = 3.0;
+const LEAST_QUEUE: usize = 3;
+
+/// How long an order stands before it is worked out again: worth changes with time.
+const ORDER_AGE: Duration = Duration::from_millis(20);
 
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    waiting: HashMap<WaiterId, Job>,
     next: WaiterId,
-    rates: HashMap<(String, Rank), Rate>,
+    services: HashMap<ServiceId, OfService>,
+    service_of: HashMap<WaiterId, ServiceId>,
+}
+
+#[derive(Debug, Default)]
+struct OfService {
+    waiting: HashMap<WaiterId, Job>,
+    order: RefCell<Option<Ordered>>,
+    placed: Option<Rate>,
+}
+
+/// Waiting requests, the first to be served first.
+#[derive(Debug)]
+struct Ordered {
+    at: Instant,
+    waiters: Vec<WaiterId>,
 }
 
 /// Requests placed a second, decaying.
@@ -52,145 +58,146 @@
     }
 }
 
-impl Queue {
-    pub(super) fn len(&self) -> usize {
-        self.waiting.len()
+impl OfService {
+    fn rate(&self, now: Instant) -> f64 {
+        self.placed.as_ref().map_or(INITIAL_RATE, |rate| rate.decayed(now)).max(LEAST_RATE)
     }
 
-    pub(super) fn push(&mut self, job: Job) -> WaiterId {
-        self.next += 1;
-        self.waiting.insert(self.next, job);
-        self.next
+    /// How long the request at a position of the order waits.
+    fn wait_at(&self, position: usize, now: Instant) -> Duration {
+        Duration::from_secs_f64((position as f64 + 1.0) / self.rate(now))
     }
 
-    pub(super) fn remove(&mut self, waiter: WaiterId) {
-        self.waiting.remove(&waiter);
+    fn ranks(&self) -> Vec<Rank> {
+        let mut ranks: Vec<Rank> = self.waiting.values().map(|job| job.rank).collect();
+        ranks.sort_unstable();
+        ranks.dedup();
+        ranks
     }
 
-    pub(super) fn job(&self, waiter: WaiterId) -> Option<&Job> {
-        self.waiting.get(&waiter)
+    fn work_out_order(&self, service: ServiceId, worth: &Worth, now: Instant) -> Vec<WaiterId> {
+        let ranks = self.ranks();
+        let is_ahead: HashMap<Rank, bool> =
+            ranks.iter().map(|rank| (*rank, worth.is_ahead(service, *rank, &ranks))).collect();
+        let key =
+            |(id, job): (&WaiterId, &Job)| (is_ahead[&job.rank], worth.density(job, now), *id);
+        let mut order: Vec<(bool, f64, WaiterId)> = self.waiting.iter().map(key).collect();
+        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
+        order.into_iter().map(|(_, _, id)| id).collect()
     }
+}
 
-    /// Whether a request of the same service waits that goes first.
-    pub(super) fn has_ahead(&self, job: &Job, now: Instant) -> bool {
-        let own = Order::of(job, now);
-        self.of_service(&job.service).any(|other| Order::of(other, now).is_before(&own))
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.service_of.len()
     }
 
-    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Job> + 'a {
-        self.waiting.values().filter(move |job| job.service == service)
+    pub(super) fn push(&mut self, job: Job) -> WaiterId {
+        self.next += 1;
+        let id = self.next;
+        self.service_of.insert(id, job.service);
+        let of_service = self.services.entry(job.service).or_default();
+        *of_service.order.borrow_mut() = None;
+        of_service.waiting.insert(id, job);
+        id
     }
 
-    /// How many requests wait, by service and rank.
-    pub(super) fn counts(&self) -> HashMap<(&str, Rank), u32> {
-        let mut counts = HashMap::new();
-        for job in self.waiting.values() {
-            *counts.entry((job.service.as_str(), job.rank)).or_insert(0) += 1;
-        }
-        counts
-    }
-
-    /// How long a request would wait: those of its own rank at the rate at which that rank finds
-    /// places now, which shows what higher ranks leave over.
-    pub(super) fn expected_wait(&self, job: &Job, now: Instant) -> Duration {
-        let rate = self.rate(&job.service, job.rank, now);
-        let own = Order::of(job, now);
-        let ahead = self
-            .of_service(&job.service)
-            .filter(|other| other.rank == job.rank && Order::of(other, now).is_before(&own))
-            .count();
-        Duration::from_secs_f64((ahead as f64 + 1.0) / rate)
+    pub(super) fn remove(&mut self, waiter: WaiterId) -> Option<Job> {
+        let service = self.service_of.remove(&waiter)?;
+        self.services.get_mut(&service)?.waiting.remove(&waiter)
     }
 
-    /// Counts a request that found a place.
-    pub(super) fn count_placed(&mut self, service: &str, rank: Rank, now: Instant) {
-        let gained = 1.0 / RATE_SPAN.as_secs_f64();
-        match self.rates.get_mut(&(service.to_owned(), rank)) {
-            Some(rate) => {
-                rate.per_second = rate.decayed(now) + gained;
-                rate.at = now;
-            }
-            None => {
-                let rate = Rate { per_second: INITIAL_RATE, at: now };
-                self.rates.insert((service.to_owned(), rank), rate);
-            }
-        }
+    pub(super) fn job(&self, waiter: WaiterId) -> Option<&Job> {
+        self.services.get(self.service_of.get(&waiter)?)?.waiting.get(&waiter)
     }
 
-    /// Requests that have waited for as long as they may.
-    pub(super) fn overdue(&self, now: Instant) -> Vec<(WaiterId, Job)> {
-        let overdue = self.waiting.iter().filter(|(_, job)| now >= job.wait_until);
-        overdue.map(|(id, job)| (*id, job.clone())).collect()
-    }
-
-    /// Requests beyond what can find a place in time, by service and rank: those that would be served
-    /// last. They are better told at once than after a wait.
-    pub(super) fn excess(&self, now: Instant) -> Vec<(WaiterId, Job)> {
-        let mut room: HashMap<(&str, Rank), f64> = HashMap::new();
-        let mut excess = Vec::new();
-        for waiter in self.in_order(now) {
-            let job = &self.waiting[&waiter];
-            let room = room.entry((&job.service, job.rank)).or_insert_with(|| {
-                LEAST_QUEUE + self.rate(&job.service, job.rank, now) * QUEUE_SPAN.as_secs_f64()
-            });
-            *room -= 1.0;
-            if *room < 0.0 {
-                excess.push((waiter, job.clone()));
-            }
-        }
-        excess
+    /// Services that requests wait for.
+    pub(super) fn services(&self) -> Vec<ServiceId> {
+        let waited = self.services.iter().filter(|(_, of_service)| !of_service.waiting.is_empty());
+        waited.map(|(service, _)| *service).collect()
     }
 
-    fn rate(&self, service: &str, rank: Rank, now: Instant) -> f64 {
-        let rate = self.rates.get(&(service.to_owned(), rank));
-        rate.map_or(INITIAL_RATE, |rate| rate.decayed(now)).max(LEAST_RATE)
+    /// Whether a request of the same service waits that goes first.
+    pub(super) fn has_ahead(&self, job: &Job, worth: &Worth, now: Instant) -> bool {
+        self.ahead_of(job, worth, now) > 0
     }
 
-    /// The first of the lowest rank that waits, if several ranks do.
-    pub(super) fn first_of_lowest(&self, now: Instant) -> Option<WaiterId> {
-        let lowest = self.waiting.values().map(|job| job.rank).max()?;
-        let highest = self.waiting.values().map(|job| job.rank).min()?;
-        if lowest == highest {
-            return None;
+    fn ahead_of(&self, job: &Job, worth: &Worth, now: Instant) -> usize {
+        let Some(of_service) = self.services.get(&job.service) else { return 0 };
+        if of_service.waiting.is_empty() {
+            return 0;
         }
-        self.in_order(now).into_iter().find(|id| self.waiting[id].rank == lowest)
-    }
-
-    /// Waiting requests, the first to be served first.
-    pub(super) fn in_order(&self, now: Instant) -> Vec<WaiterId> {
-        let mut waiters: Vec<_> =
-            self.waiting.iter().map(|(id, job)| (*id, Order::of(job, now))).collect();
-        waiters.sort_by(|(first, a), (second, b)| a.compare(b).then(first.cmp(second)));
-        waiters.into_iter().map(|(id, _)| id).collect()
+        let mut ranks = of_service.ranks();
+        ranks.push(job.rank);
+        let is_ahead = worth.is_ahead(job.service, job.rank, &ranks);
+        let own = worth.density(job, now);
+        let goes_first = |other: &&Job| {
+            let other_ahead =
+                other.rank != job.rank && worth.is_ahead(job.service, other.rank, &ranks);
+            match (other_ahead, is_ahead) {
+                (false, true) if other.rank != job.rank => true,
+                (true, false) => false,
+                _ => worth.density(other, now) > own,
+            }
+        };
+        of_service.waiting.values().filter(goes_first).count()
     }
-}
-
-/// Where a request stands in the queue: by rank, then those that can still be in time, then the
-/// cheapest, so that a place serves as many as it can; waiting makes a request cheaper.
-#[derive(Debug, Clone, Copy)]
-struct Order {
-    rank: Rank,
-    late: bool,
-    cost_tokens: f64,
-}
 
-impl Order {
-    fn of(job: &Job, now: Instant) -> Order {
-        let waited_ms = now.saturating_duration_since(job.arrived).as_secs_f64() * 1_000.0;
-        let prompt = f64::from(job.prompt_tokens) / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
-        Order {
-            rank: job.rank,
-            late: job.objective_at < now,
-            cost_tokens: f64::from(job.output_tokens) + prompt - AGING_TOKENS_PER_MS * waited_ms,
-        }
+    /// How long a request would wait.
+    pub(super) fn expected_wait(&self, job: &Job, worth: &Worth, now: Instant) -> Duration {
+        let ahead = self.ahead_of(job, worth, now);
+        let rate = self.services.get(&job.service).map_or(INITIAL_RATE, |found| found.rate(now));
+        Duration::from_secs_f64((ahead as f64 + 1.0) / rate)
     }
 
-    fn compare(&self, other: &Order) -> Ordering {
-        let by_rank = (self.rank, self.late).cmp(&(other.rank, other.late));
-        by_rank.then(self.cost_tokens.total_cmp(&other.cost_tokens))
+    /// Counts a request that found a place.
+    pub(super) fn count_placed(&mut self, service: ServiceId, now: Instant) {
+        let gained = 1.0 / RATE_SPAN.as_secs_f64();
+        let placed = &mut self.services.entry(service).or_default().placed;
+        let per_second = placed.as_ref().map_or(INITIAL_RATE, |rate| rate.decayed(now)) + gained;
+        *placed = Some(Rate { per_second, at: now });
     }
 
-    fn is_before(&self, other: &Order) -> bool {
-        self.compare(other) == Ordering::Less
+    /// Requests that have waited for as long as they may.
+    pub(super) fn overdue(&self, now: Instant) -> Vec<WaiterId> {
+        let waiting = self.services.values().flat_map(|of_service| &of_service.waiting);
+        let overdue = waiting.filter(|(_, job)| now >= job.wait_until);
+        overdue.map(|(id, _)| *id).collect()
+    }
+
+    /// Requests that cannot find a place in time. They are better told at once than after a wait.
+    pub(super) fn hopeless(
+        &self,
+        service: ServiceId,
+        worth: &Worth,
+        now: Instant,
+    ) -> Vec<WaiterId> {
+        let Some(of_service) = self.services.get(&service) else { return Vec::new() };
+        let is_hopeless = |position: usize, waiter: &WaiterId| {
+            let job = of_service.waiting.get(waiter);
+            let wait = of_service.wait_at(position, now);
+            job.is_some_and(|job| now + wait > job.wait_until)
+        };
+        let order = self.in_order(service, worth, now).into_iter().enumerate().skip(LEAST_QUEUE);
+        let hopeless = order.filter(|(position, waiter)| is_hopeless(*position, waiter));
+        hopeless.map(|(_, waiter)| waiter).collect()
+    }
+
+    /// Waiting requests of a service, the first to be served first.
+    pub(super) fn in_order(
+        &self,
+        service: ServiceId,
+        worth: &Worth,
+        now: Instant,
+    ) -> Vec<WaiterId> {
+        let Some(of_service) = self.services.get(&service) else { return Vec::new() };
+        let mut order = of_service.order.borrow_mut();
+        let stale = |ordered: &Ordered| now.saturating_duration_since(ordered.at) >= ORDER_AGE;
+        if order.as_ref().is_none_or(stale) {
+            let waiters = of_service.work_out_order(service, worth, now);
+            *order = Some(Ordered { at: now, waiters });
+        }
+        let waits = |waiter: &&WaiterId| of_service.waiting.contains_key(waiter);
+        order.iter().flat_map(|ordered| &ordered.waiters).filter(waits).copied().collect()
     }
 }
--- a/components/gateway/src/scheduler/speed.rs
+++ b/components/gateway/src/scheduler/speed.rs
@@ -1,4 +1,4 @@
-//! How fast an upstream is, learned from its events.
+//! How fast an upstream is, learned from its answers.
 
 use std::time::Duration;
 
@@ -21,8 +21,8 @@
 /// Weight of the initial value, in output tokens: a few events outweigh it.
 const INITIAL_OUTPUT_TOKENS: f64 = 20.0;
 
-/// Output tokens over which the pace is averaged: about a second of one stream.
-const PACE_TOKENS: f64 = 300.0;
+/// Output tokens over which the pace is averaged: some ten streams' worth.
+const PACE_TOKENS: f64 = 2_000.0;
 
 /// The ratio of time to tokens read until the first event, and to tokens generated after it.
 #[derive(Debug, Clone, Copy)]
@@ -45,27 +45,37 @@
 }
 
 impl Speed {
-    /// Takes in that a first event came after `elapsed_ms` with `backlog_tokens` to read.
-    pub(super) fn observe(&mut self, elapsed_ms: f64, backlog_tokens: u64) {
-        self.elapsed_ms = self.elapsed_ms * MEMORY + elapsed_ms;
-        self.tokens = self.tokens * MEMORY + backlog_tokens as f64 + FIXED_WORK_TOKENS;
+    /// Takes in that a first event came after `elapsed` with `backlog_tokens` to read.
+    pub(super) fn observe(&mut self, elapsed: Duration, backlog_tokens: f64) {
+        self.elapsed_ms = self.elapsed_ms * MEMORY + milliseconds(elapsed);
+        self.tokens = self.tokens * MEMORY + backlog_tokens + FIXED_WORK_TOKENS;
     }
 
-    /// Takes in that `tokens` output tokens came after a pause.
-    pub(super) fn observe_output(&mut self, pause: Duration, tokens: u32) {
+    /// Takes in that `tokens` output tokens took `elapsed` after the first event.
+    pub(super) fn observe_output(&mut self, elapsed: Duration, tokens: u32) {
         let tokens = f64::from(tokens);
         let kept = (-tokens / PACE_TOKENS).exp();
-        self.output_ms = self.output_ms * kept + pause.as_secs_f64() * 1_000.0;
+        self.output_ms = self.output_ms * kept + milliseconds(elapsed);
         self.output_tokens = self.output_tokens * kept + tokens;
     }
 
-    /// Time for an answer after its first event, in milliseconds.
-    pub(super) fn expect_output_ms(&self, expected_tokens: u32) -> f64 {
-        self.output_ms / self.output_tokens * f64::from(expected_tokens)
+    /// Time for output tokens, in milliseconds.
+    pub(super) fn output_ms(&self, tokens: u32) -> f64 {
+        self.output_ms / self.output_tokens * f64::from(tokens)
     }
 
-    /// Time until a first event with `backlog_tokens` to read, in milliseconds.
-    pub(super) fn expect_ms(&self, backlog_tokens: u64) -> f64 {
-        self.elapsed_ms / self.tokens * (backlog_tokens as f64 + FIXED_WORK_TOKENS)
+    /// Time to read prompt tokens, in milliseconds.
+    pub(super) fn reading_ms(&self, tokens: f64) -> f64 {
+        self.elapsed_ms / self.tokens * tokens
     }
+
+    /// Time to the first event beside the reading, in milliseconds.
+    pub(super) fn fixed_ms(&self) -> f64 {
+        self.reading_ms(FIXED_WORK_TOKENS)
+    }
+}
+
+/// A duration in milliseconds, with its fraction.
+pub(super) fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
 }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub readiness_listen: SocketAddr,
     /// Where metrics are read and, over UDP, digests of other entries arrive.
     pub internal_listen: SocketAddr,
+    /// The processor of this host, in cores.
+    pub cores: f64,
     /// Zones and regions.
     pub places: Places,
     /// The limit on repeats.
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -8,13 +8,14 @@
 use http::{HeaderMap, Method, Uri};
 use log::info;
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::head::Incoming;
 use super::state::{Shared, customer_id};
 use crate::allowance::{Grant, cost};
-use crate::model::{Customer, RequestFacts, Route};
+use crate::model::{Customer, RequestFacts, Route, ServiceId};
 use crate::routes::pick_target;
-use crate::scheduler::Rank;
+use crate::scheduler::{Job, KindId, Rank};
 
 /// When to come back to a process that doesn't know the configuration, or isn't sure of it: the
 /// store is asked about once a second.
@@ -33,6 +34,15 @@
 /// How far times to come back are spread, so that callers don't return together.
 const RETRY_SPREAD: f64 = 0.3;
 
+/// Part of a route's timeout below which a caller's patience shows that it has tried before.
+const FIRST_TRY_SHARE: f64 = 0.97;
+
+/// Callers give up a stream without an event after the longest of this, so many of the route's
+/// objectives and so many of its longest pauses; from the platform's pages.
+const GIVE_UP: Duration = Duration::from_secs(2);
+const GIVE_UP_OBJECTIVES: u32 = 4;
+const GIVE_UP_PAUSES: u32 = 8;
+
 /// A request that was let in.
 pub(super) struct Call {
     pub(super) method: Method,
@@ -42,6 +52,8 @@
     pub(super) facts: RequestFacts,
     pub(super) route: Rc<Route>,
     pub(super) service: String,
+    /// This entry's availability zone.
+    zone: Rc<str>,
     /// Output tokens in each event of the service's streams.
     pub(super) tokens_per_event: u32,
     pub(super) customer: Option<Rc<Customer>>,
@@ -54,6 +66,41 @@
 }
 
 impl Call {
+    /// What the scheduler has to know, for a request that may wait until its time is over.
+    pub(super) fn job(&self) -> Job {
+        Job {
+            service: ServiceId::of(&self.service),
+            kind: KindId(xxh3_64(self.route.name.as_bytes()) as u32),
+            rank: self.rank,
+            zone: self.zone.clone(),
+            prompt_tokens: self.facts.prompt_tokens.unwrap_or(0),
+            output_tokens: self.facts.expected_output_tokens(),
+            tokens_per_event: self.tokens_per_event,
+            session_part: self.facts.prompt_parts.last().map(|part| part.id),
+            returning: self.is_returning(),
+            arrived: self.arrived,
+            objective_at: self.arrived + self.route.latency_objective,
+            pause_objective: self.route.pause_objective,
+            wait_until: self.limit_at,
+            limit_at: self.limit_at,
+            excluded: Vec::new(),
+            doubtful: Vec::new(),
+        }
+    }
+
+    /// Whether the caller seems to have tried before: it waits for less than the route allows.
+    fn is_returning(&self) -> bool {
+        let patience = self.facts.patience;
+        patience.is_some_and(|left| left < self.route.timeout.mul_f64(FIRST_TRY_SHARE))
+    }
+
+    /// The longest time without an event after which callers give up a stream.
+    pub(super) fn longest_pause(&self) -> Duration {
+        let of_objective = self.route.latency_objective * GIVE_UP_OBJECTIVES;
+        let of_pause = self.route.pause_objective.unwrap_or_default() * GIVE_UP_PAUSES;
+        GIVE_UP.max(of_objective).max(of_pause)
+    }
+
     pub(super) fn time_left(&self, now: Instant) -> Duration {
         self.limit_at.saturating_duration_since(now)
     }
@@ -101,6 +148,7 @@
             facts,
             route,
             service,
+            zone: self.own_zone.clone(),
             tokens_per_event,
             customer,
             rank,
--- a/components/gateway/src/shell/exchange.rs
+++ b/components/gateway/src/shell/exchange.rs
@@ -9,20 +9,24 @@
 use super::admission::{Call, honoured, longest_honoured};
 use super::answer::Delivery;
 use super::hand_over::{Began, SharedRef, Started, read_body};
+use super::places;
 use super::relay::{Relay, RelayStart};
 use super::seat::Seat;
-use super::state::{PlaceReceiver, Shared, Waiting};
-use crate::model::InstanceId;
+use super::state::Shared;
+use crate::model::UpstreamId;
 use crate::outcome::{Chances, Fallback, HandOver, Next, decide};
-use crate::scheduler::{Ending, Job, RefusedBecause, WaiterId};
+use crate::scheduler::{Ending, Job, RefusedBecause};
 
 /// Most hand-overs of one request that did not arrive or were declined: a second place found free
 /// at once is likely to be good, a fourth is not.
 const MOST_HAND_OVERS: u32 = 4;
 
-/// Longest that a request waits for a place. Callers of streams give up after two seconds without an
-/// event; those of plain services after a second or so.
-const LONGEST_STREAM_WAIT: Duration = Duration::from_millis(1_800);
+/// Part of the time after which callers give up a stream without an event for which it may wait for
+/// a place.
+const STREAM_WAIT_SHARE: f64 = 0.75;
+
+/// Longest that a request to a plain service waits for a place: its callers give up after a second or
+/// so.
 const LONGEST_PLAIN_WAIT: Duration = Duration::from_millis(800);
 
 /// Part of a request's time that it may spend waiting; the rest is for its run.
@@ -34,29 +38,12 @@
 /// What was done for a request so far.
 #[derive(Debug, Default)]
 pub(super) struct Tried {
-    pub(super) excluded: Vec<InstanceId>,
+    pub(super) excluded: Vec<UpstreamId>,
     pub(super) hand_overs: u32,
     /// Upstreams that may have run it.
     pub(super) used: u32,
 }
 
-/// Takes a request out of the queue when its caller leaves, and frees a place that was given to it and
-/// not yet taken.
-struct QueueSpot {
-    shared: SharedRef,
-    waiter: WaiterId,
-    receiver: PlaceReceiver,
-}
-
-impl Drop for QueueSpot {
-    fn drop(&mut self) {
-        self.shared.withdraw_waiter(self.waiter);
-        if let Ok(Ok(unclaimed)) = self.receiver.try_recv() {
-            Seat::new(self.shared.clone(), unclaimed).end(Ending::Abandoned);
-        }
-    }
-}
-
 enum Step {
     Deliver(Delivery),
     Ended(HandOver, Option<Delivery>),
@@ -90,14 +77,14 @@
         if !matches!(ended, HandOver::NotSent | HandOver::Declined) {
             tried.used += 1;
         }
-        let instance = seat.assignment().instance.clone();
+        let upstream = seat.upstream().id();
         let next = decide(ended, chances(&call, &tried));
         shared.log_next(&call, &tried, &seat, ended, next);
         let fallback = match next {
             Next::Relay => Fallback::Relay,
             Next::End(fallback) => fallback,
             Next::Again { counts, if_refused } => {
-                tried.excluded.push(instance);
+                tried.excluded.push(upstream);
                 if shared.may_go_again(&call, &tried, counts) {
                     continue;
                 }
@@ -121,60 +108,40 @@
 }
 
 async fn find_place(shared: &SharedRef, call: &Call, tried: &Tried) -> Result<Seat, Refusal> {
-    let waited = match shared.offer(job(call, tried)) {
-        Ok(assignment) => return Ok(Seat::new(shared.clone(), assignment)),
-        Err(Waiting::Refused(refused)) => Err(refused),
-        Err(Waiting::For(waiter, receiver)) => {
-            let mut spot = QueueSpot { shared: shared.clone(), waiter, receiver };
-            let received = (&mut spot.receiver).await;
-            received.map_err(|_| Refusal::not_run(ResultCode::Internal))?
-        }
+    let refused = match places::find(shared, job(call, tried)).await {
+        Ok(seat) => return Ok(seat),
+        Err(refused) => refused,
     };
     let now = shared.clock.now();
-    match waited {
-        Ok(assignment) => Ok(Seat::new(shared.clone(), assignment)),
-        Err(refused) => {
-            let left = call.time_left(now);
-            info!(
-                "place.refused id={} route={} tier={} route_tier={} reason={:?} expected_wait_ms={} waited_ms={}",
-                call.facts.attempt_id,
-                call.route.name,
-                call.rank.tier,
-                call.rank.route_tier,
-                refused.reason,
-                refused.retry_after.as_millis(),
-                now.saturating_duration_since(call.arrived).as_millis(),
-            );
-            Err(match refused.reason {
-                RefusedBecause::NoUpstream => {
-                    shared.not_run(ResultCode::NoUpstream, honoured(refused.retry_after, left))
-                }
-                RefusedBecause::Full => {
-                    shared.not_run(ResultCode::Overloaded, longest_honoured(left))
-                }
-            })
-        }
-    }
+    let left = call.time_left(now);
+    info!(
+        "place.refused id={} route={} tier={} route_tier={} reason={:?} expected_wait_ms={} waited_ms={}",
+        call.facts.attempt_id,
+        call.route.name,
+        call.rank.tier,
+        call.rank.route_tier,
+        refused.reason,
+        refused.retry_after.as_millis(),
+        now.saturating_duration_since(call.arrived).as_millis(),
+    );
+    let wait = match refused.reason {
+        RefusedBecause::NoUpstream => honoured(refused.retry_after, left),
+        RefusedBecause::Full => longest_honoured(left),
+    };
+    Err(shared.not_run(places::code_of(refused.reason), wait))
 }
 
 fn job(call: &Call, tried: &Tried) -> Job {
-    let objective = call.route.latency_objective;
     let patience = call.limit_at.saturating_duration_since(call.arrived);
-    let longest =
-        if call.route.kind.is_stream() { LONGEST_STREAM_WAIT } else { LONGEST_PLAIN_WAIT };
+    let longest = if call.route.kind.is_stream() {
+        call.longest_pause().mul_f64(STREAM_WAIT_SHARE)
+    } else {
+        LONGEST_PLAIN_WAIT
+    };
     Job {
-        service: call.service.clone(),
-        rank: call.rank,
-        prompt_tokens: call.facts.prompt_tokens.unwrap_or(0),
-        output_tokens: call.facts.expected_output_tokens(),
-        tokens_per_event: call.tokens_per_event,
-        session_part: call.facts.prompt_parts.last().map(|part| part.id),
-        arrived: call.arrived,
-        objective_at: call.arrived + objective,
-        pause_objective: call.route.pause_objective,
         wait_until: call.arrived + longest.min(patience.mul_f64(WAIT_SHARE)),
-        limit_at: call.limit_at,
         excluded: tried.excluded.clone(),
+        ..call.job()
     }
 }
 
@@ -237,14 +204,13 @@
     fn log_next(&self, call: &Call, tried: &Tried, seat: &Seat, ended: HandOver, next: Next) {
         let now = self.clock.now();
         let since = |at: Instant| at.saturating_duration_since(call.arrived).as_millis();
-        let place = seat.assignment();
         info!(
             "request.next id={} route={} instance={} ended={ended:?} next={next:?} hand_overs={} placed_ms={} ended_ms={}",
             call.facts.attempt_id,
             call.route.name,
-            place.instance,
+            seat.upstream().instance,
             tried.hand_overs,
-            since(place.at),
+            since(seat.at()),
             since(now),
         );
     }
--- a/components/gateway/src/shell/hand_over.rs
+++ b/components/gateway/src/shell/hand_over.rs
@@ -74,7 +74,7 @@
     }
 
     async fn send_in_time(&self, call: &Call, seat: &mut Seat, resume_after: Option<u64>) -> Began {
-        let address = seat.assignment().address;
+        let address = seat.upstream().address;
         let repeatable = call.route.kind.may_repeat();
         let longest_idle = if repeatable { IDLE_FOR_REPEATABLE } else { IDLE_FOR_ONCE };
         if let Some(kept) = self.pool.take(address, self.clock.now(), longest_idle) {
@@ -87,7 +87,7 @@
         match link::connect(address, UPSTREAM_TIMEOUTS).await {
             Ok(connection) => self.send_on(connection, call, seat, resume_after).await,
             Err(error) => {
-                let instance = &seat.assignment().instance;
+                let instance = &seat.upstream().instance;
                 warn!(
                     "upstream.unreachable id={} instance={instance} reason={error}",
                     call.facts.attempt_id
@@ -138,8 +138,7 @@
         let patience = call.route.latency_objective * SILENT_OBJECTIVES;
         loop {
             tokio::time::sleep(patience).await;
-            let instance = &seat.assignment().instance;
-            if self.scheduler.borrow().is_silent(instance, self.clock.now()) {
+            if self.contacts.borrow().is_silent(seat.upstream().id(), self.clock.now()) {
                 return;
             }
         }
@@ -152,7 +151,7 @@
         resume_after: Option<u64>,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let facts = HandOverFacts {
-            instance: &seat.assignment().instance,
+            instance: &seat.upstream().instance,
             customer: call.customer.as_ref().map(|customer| customer.name.as_str()),
             time_left: call.facts.patience.map(|_| call.time_left(self.clock.now())),
             resume_after,
@@ -187,7 +186,7 @@
     }
 
     pub(super) fn note_failure(&self, call: &Call, seat: &mut Seat, reason: &str) {
-        let instance = seat.assignment().instance.clone();
+        let instance = seat.upstream().instance.clone();
         warn!("upstream.failed id={} instance={instance} reason={reason:?}", call.facts.attempt_id);
         seat.end(Ending::Failed);
     }
@@ -198,7 +197,7 @@
             return;
         }
         let idle = facts.idle_timeout.unwrap_or(DEFAULT_IDLE).saturating_sub(IDLE_MARGIN);
-        self.pool.put(seat.assignment().address, connection, self.clock.now(), idle);
+        self.pool.put(seat.upstream().address, connection, self.clock.now(), idle);
     }
 }
 
--- a/components/gateway/src/shell/metrics.rs
+++ b/components/gateway/src/shell/metrics.rs
@@ -44,7 +44,7 @@
         )?;
         let version = gauge("configuration_version", "Version of the configuration in force")?;
         let open_requests = gauge("open_requests", "Requests without a whole answer")?;
-        let waiting = gauge("waiting_requests", "Requests that wait for a place")?;
+        let waiting = gauge("waiting_requests", "Requests that ask for a place or wait for one")?;
         let upstream_connections = IntCounter::new(
             "dragonflyfront_gateway_upstream_connections_total",
             "Connections opened to upstreams",
@@ -95,7 +95,7 @@
     serve_small(listener, move |_| {
         let (open, _) = shared.open_work();
         shared.metrics.open_requests.set(i64::try_from(open).unwrap_or(i64::MAX));
-        let waiting = shared.scheduler.borrow().waiting();
+        let waiting = shared.questions.borrow().len();
         shared.metrics.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
         Response::build(StatusCode::OK)
             .content_type("text/plain; version=0.0.4")
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -8,6 +8,7 @@
 mod head;
 mod metrics;
 mod peering;
+mod places;
 mod readiness;
 mod relay;
 mod seat;
@@ -117,12 +118,12 @@
             metrics: internal.local_addr()?,
             digests: datagrams.local_addr()?,
         };
-        let shared = Rc::new(Shared::new(self)?);
+        let shared = Rc::new(Shared::new(self, datagrams)?);
         let handle = GatewayHandle { shared: shared.clone(), addresses };
         tokio::task::spawn_local(callers::serve(shared.clone(), callers));
         tokio::task::spawn_local(readiness::serve(shared.clone(), readiness));
         tokio::task::spawn_local(metrics::serve(shared.clone(), internal));
-        tokio::task::spawn_local(peering::run(shared.clone(), datagrams));
+        tokio::task::spawn_local(peering::run(shared.clone()));
         tokio::task::spawn_local(settle_regularly(shared));
         Ok(handle)
     }
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -1,7 +1,7 @@
-//! Sends digests to the other entries and takes in theirs.
+//! Messages between entries.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -11,25 +11,26 @@
 
 use super::hand_over::SharedRef;
 use super::state::Shared;
+use crate::allowance::SMALL_GROUP;
+use crate::broker::Message;
+use crate::model::PeerId;
 use crate::peers::Digest;
 use crate::reading::HeardReading;
-use crate::scheduler::SMALL_GROUP;
 
-/// Between digests in a small group. Placement tolerates this age: an entry places some ten requests
-/// meanwhile.
+/// Between digests in a small group: an entry grants some ten requests meanwhile.
 const SMALL_GROUP_PERIOD: Duration = Duration::from_millis(100);
 
-/// Between digests while requests wait somewhere in a small group: a place that one entry frees should
-/// not stand empty for long before another takes it.
-const HASTENED_PERIOD: Duration = Duration::from_millis(15);
-
-/// Between digests in a larger group, whose places have owners.
+/// Between digests in a larger group.
 const LARGE_GROUP_PERIOD: Duration = Duration::from_millis(200);
 
 /// In a larger group, every so many digests one goes to all availability zones: bytes between zones
 /// are paid for, and what they carry may be older.
 const ROUNDS_TO_ALL_ZONES: u32 = 2;
 
+/// Between lists of the places that an entry holds. They show a broker what it missed: a release
+/// that was lost, or places that another broker gave.
+const HOLDINGS_PERIOD: Duration = Duration::from_millis(250);
+
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -37,49 +38,74 @@
     UdpSocket::bind(address).await.with_context(|| format!("{address}: no datagrams"))
 }
 
-/// Exchanges digests until the process ends.
-pub(super) async fn run(shared: SharedRef, socket: UdpSocket) {
+/// Exchanges messages until the process ends.
+pub(super) async fn run(shared: SharedRef) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut sequence = 0;
-    let mut next_at = Instant::now();
+    let (mut digest_at, mut holdings_at) = (Instant::now(), Instant::now());
     loop {
         tokio::select! {
-            () = sleep_until(next_at) => {
+            () = sleep_until(digest_at) => {
                 sequence += 1;
-                send(&shared, &socket, sequence).await;
-                next_at = Instant::now() + shared.digest_period();
+                shared.send_digest(sequence);
+                digest_at = Instant::now() + shared.digest_period();
             }
-            () = shared.load_changed.notified() => {
-                next_at = next_at.min(Instant::now() + HASTENED_PERIOD);
+            () = sleep_until(holdings_at) => {
+                shared.tell_holdings();
+                holdings_at = Instant::now() + HOLDINGS_PERIOD;
             }
-            received = socket.recv_from(&mut buffer) => match received {
+            received = shared.socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => shared.hear(&buffer[..length], from),
-                Err(error) => debug!("digest.receive error={error}"),
+                Err(error) => debug!("message.receive error={error}"),
             }
         }
     }
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, sequence: u32) {
-    let addresses = shared.digest_addresses(sequence);
-    if addresses.is_empty() {
-        return;
-    }
-    let bytes = match shared.digest(sequence).encode() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            warn!("digest.encode error={error}");
+impl Shared {
+    /// Sends a message to an entry; to this one without the network. What cannot be sent is lost:
+    /// the sender asks again.
+    pub(super) fn post(&self, to: PeerId, message: Message) {
+        if to == self.process_id {
+            self.dispatch(message, self.own_zone.clone());
             return;
         }
-    };
-    for address in addresses {
-        if let Err(error) = socket.send_to(&bytes, address).await {
-            debug!("digest.send to={address} error={error}");
+        let Some((address, _)) = self.peers.borrow().locate(to) else { return };
+        self.send_datagrams(&message, &[address]);
+    }
+
+    fn send_datagrams(&self, message: &Message, addresses: &[SocketAddr]) {
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!("message.encode error={error}");
+                return;
+            }
+        };
+        for address in addresses {
+            if let Err(error) = self.socket.try_send_to(&bytes, *address) {
+                debug!("message.send to={address} error={error}");
+            }
+        }
+    }
+
+    fn dispatch(&self, message: Message, zone: Rc<str>) {
+        match message {
+            Message::Digest(digest) => self.hear_digest(&digest),
+            Message::Verdict { from, ticket, verdict } => self.hear_verdict(from, ticket, verdict),
+            Message::Ask { .. } | Message::Release { .. } | Message::Holdings { .. } => {
+                self.serve_entry(zone, message);
+            }
+        }
+    }
+
+    fn send_digest(&self, sequence: u32) {
+        let addresses = self.digest_addresses(sequence);
+        if !addresses.is_empty() {
+            self.send_datagrams(&Message::Digest(self.digest(sequence)), &addresses);
         }
     }
-}
 
-impl Shared {
     fn is_small_group(&self) -> bool {
         self.peers.borrow().entries() <= SMALL_GROUP
     }
@@ -98,7 +124,6 @@
     }
 
     fn digest(&self, sequence: u32) -> Digest {
-        let scheduler = self.scheduler.borrow();
         let uptime = self.clock.uptime();
         self.readings.borrow_mut().note_sent(sequence, uptime);
         let age = self.freshness.get().age(uptime);
@@ -109,9 +134,6 @@
             from: self.process_id,
             sequence,
             version: self.configuration().map_or(0, |known| known.version),
-            loads: scheduler.own_loads().collect(),
-            replaced: scheduler.replaced(),
-            waiting: scheduler.own_waiting(),
             granted: self.allowances.borrow().granted().collect(),
         }
     }
@@ -129,26 +151,26 @@
     }
 
     fn hear(&self, bytes: &[u8], from: SocketAddr) {
-        let digest = match Digest::decode(bytes) {
-            Ok(digest) => digest,
+        let message = match Message::decode(bytes) {
+            Ok(message) => message,
             Err(error) => {
-                debug!("digest.decode from={from} error={error}");
+                debug!("message.decode from={from} error={error}");
                 return;
             }
         };
-        let now = self.clock.now();
-        if !self.peers.borrow().is_member(digest.from) {
+        let Some((_, zone)) = self.peers.borrow().locate(message.from()) else {
             self.readings.borrow_mut().note_stranger();
             return;
-        }
+        };
+        self.dispatch(message, zone);
+    }
+
+    fn hear_digest(&self, digest: &Digest) {
+        let now = self.clock.now();
         if !self.peers.borrow_mut().accept(digest.from, digest.sequence, now) {
             return;
         }
-        self.hear_reading(&digest);
-        let loads: HashMap<_, _> = digest.loads.into_iter().collect();
-        let (waiting, replaced) = (&digest.waiting, &digest.replaced);
-        self.scheduler.borrow_mut().hear_peer(digest.from, &loads, waiting, replaced);
+        self.hear_reading(digest);
         self.allowances.borrow_mut().hear_peer(digest.from, &digest.granted, now);
-        self.wake_waiters(now);
     }
 }
--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -15,11 +15,16 @@
 use super::callers::OpenRequest;
 use super::exchange::Tried;
 use super::hand_over::{Began, SharedRef, Started};
+use super::places;
 use super::seat::Seat;
 use crate::events::{EventSplitter, count_events, last_event_id};
 use crate::outcome::HandOver;
 use crate::scheduler::{Ending, Job, Rank};
 
+/// Longest wait for a place at which a broken stream goes on; callers wait a few times longer for its
+/// next event.
+const RESUMED_WITHIN: Duration = Duration::from_millis(500);
+
 /// A stream that is being passed on. Dropping it closes the connection to the upstream.
 pub(super) struct Relay {
     shared: SharedRef,
@@ -197,7 +202,8 @@
             self.first_at = Some(self.shared.clock.now());
             self.seat.first_event();
         } else {
-            self.longest_pause = self.longest_pause.max(self.seat.further_events(count));
+            let tokens = count.saturating_mul(self.call.tokens_per_event);
+            self.longest_pause = self.longest_pause.max(self.seat.further_events(tokens));
         }
     }
 
@@ -217,14 +223,14 @@
             "stream.end id={} route={} instance={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} hand_overs={} placed_ms={} first_ms={:?} end_ms={} events={} longest_pause_ms={}",
             self.call.facts.attempt_id,
             self.call.route.name,
-            self.seat.assignment().instance,
+            self.seat.upstream().instance,
             self.call.rank.tier,
             self.call.rank.route_tier,
             self.call.facts.prompt_tokens.unwrap_or(0),
             self.call.facts.max_output_tokens,
             self.call.facts.output_estimate.unwrap_or(0),
             self.tried.hand_overs,
-            since(self.seat.assignment().at),
+            since(self.seat.at()),
             self.first_at.map(since),
             since(now),
             self.events,
@@ -246,18 +252,20 @@
         let call = self.call.clone();
         let resumable = call.route.kind.may_repeat();
         while resumable && self.tried.used < call.route.max_upstreams {
-            self.tried.excluded.push(self.seat.assignment().instance.clone());
+            self.tried.excluded.push(self.seat.upstream().id());
             if !self.shared.may_go_again(&call, &self.tried, true) {
                 return false;
             }
             self.tried.hand_overs += 1;
-            let Ok(assignment) = self.shared.offer(self.resume_job()) else { return false };
-            self.seat = Seat::new(self.shared.clone(), assignment);
+            let Ok(seat) = places::find(&self.shared, self.resume_job()).await else {
+                return false;
+            };
+            self.seat = seat;
             let began = self.shared.send(&call, &mut self.seat, self.last_id).await;
             info!(
                 "stream.resume id={} instance={} after={:?}",
                 call.facts.attempt_id,
-                self.seat.assignment().instance,
+                self.seat.upstream().instance,
                 self.last_id
             );
             match began {
@@ -274,21 +282,17 @@
         false
     }
 
+    /// A broken stream goes before all that has not begun.
     fn resume_job(&self) -> Job {
         let now = self.shared.clock.now();
         Job {
-            service: self.call.service.clone(),
             rank: Rank { tier: 0, route_tier: 0 },
-            prompt_tokens: self.call.facts.prompt_tokens.unwrap_or(0),
-            output_tokens: self.call.facts.expected_output_tokens(),
-            tokens_per_event: self.call.tokens_per_event,
             session_part: None,
-            arrived: self.call.arrived,
-            objective_at: now,
-            pause_objective: self.call.route.pause_objective,
-            wait_until: now,
-            limit_at: self.call.limit_at,
+            returning: true,
+            objective_at: now + RESUMED_WITHIN,
+            wait_until: now + RESUMED_WITHIN,
             excluded: self.tried.excluded.clone(),
+            ..self.call.job()
         }
     }
 }
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -10,25 +10,26 @@
 use clock::Clock;
 use link::{Pool, Timeouts};
 use log::{info, warn};
-use tokio::sync::{Notify, oneshot};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::metrics::Metrics;
 use super::{Directory, Gateway};
 use crate::Settings;
 use crate::allowance::Allowances;
+use crate::broker::{Broker, Reach, Ticket, Verdict};
 use crate::budget::RetryBudget;
+use crate::contact::Contacts;
 use crate::customers::KeyRing;
 use crate::dialect::Dialect;
 use crate::freshness::Freshness;
-use crate::model::{CallerLimits, Configuration, Upstream};
+use crate::model::{CallerLimits, Configuration, PeerId, ServiceId, Upstream, UpstreamId};
 use crate::peers::{Member, Peers};
 use crate::reading::Readings;
 use crate::roster::{Roster, RosterChange};
 use crate::routes::RouteTable;
-use crate::scheduler::{
-    Assignment, Entry, Offer, Refused, SMALL_GROUP, Scheduler, WaiterId, Woken,
-};
 
 /// How connections to upstreams are watched. A handshake takes one round trip, tens of milliseconds
 /// between regions; an upstream whose queue of new connections is full drops the first packet, and
@@ -62,11 +63,25 @@
     pub(super) pool: Pool,
     pub(super) in_force: RefCell<Option<Rc<InForce>>>,
     pub(super) freshness: Cell<Freshness>,
-    pub(super) scheduler: RefCell<Scheduler>,
+    pub(super) own_zone: Rc<str>,
+    /// Where messages between entries are sent from.
+    pub(super) socket: UdpSocket,
+    /// This entry as a broker.
+    pub(super) broker: RefCell<Broker>,
+    /// Entries by service, the broker first; worked out again when members change.
+    pub(super) brokers: RefCell<HashMap<ServiceId, Rc<[PeerId]>>>,
+    pub(super) reach: RefCell<Reach>,
+    /// Requests that ask a broker for a place.
+    pub(super) questions: RefCell<HashMap<Ticket, UnboundedSender<Verdict>>>,
+    pub(super) next_ticket: Cell<Ticket>,
+    /// Places that this entry holds.
+    pub(super) holdings: RefCell<HashMap<Ticket, UpstreamId>>,
+    pub(super) contacts: RefCell<Contacts>,
+    /// Upstreams that may be used, draining ones included.
+    pub(super) upstreams: RefCell<HashMap<UpstreamId, Upstream>>,
     pub(super) allowances: RefCell<Allowances>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) peers: RefCell<Peers>,
-    pub(super) load_changed: Notify,
     pub(super) callers_close: Notify,
     pub(super) callers_closing: Cell<bool>,
     pub(super) stopping_since: Cell<Option<Instant>>,
@@ -75,7 +90,6 @@
     pub(super) readings: RefCell<Readings>,
     roster: RefCell<Roster>,
     members_fingerprint: Cell<u64>,
-    waiters: RefCell<HashMap<WaiterId, oneshot::Sender<Result<Assignment, Refused>>>>,
     was_ready: Cell<bool>,
 }
 
@@ -85,11 +99,20 @@
 }
 
 impl Shared {
-    pub(super) fn new(gateway: Gateway) -> Result<Shared> {
+    pub(super) fn new(gateway: Gateway, socket: UdpSocket) -> Result<Shared> {
         let Gateway { settings, process_id, dialect, clock } = gateway;
         let now = clock.now();
         Ok(Shared {
-            scheduler: RefCell::new(Scheduler::new(settings.places.clone(), process_id)),
+            own_zone: settings.places.own_zone.as_str().into(),
+            socket,
+            broker: RefCell::new(Broker::new(settings.places.clone())),
+            brokers: RefCell::default(),
+            reach: RefCell::default(),
+            questions: RefCell::default(),
+            next_ticket: Cell::new(0),
+            holdings: RefCell::default(),
+            contacts: RefCell::default(),
+            upstreams: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(settings.retry_limit, now)),
             settings: RefCell::new(settings),
             process_id,
@@ -101,7 +124,6 @@
             freshness: Cell::default(),
             allowances: RefCell::default(),
             peers: RefCell::default(),
-            load_changed: Notify::new(),
             callers_close: Notify::new(),
             callers_closing: Cell::new(false),
             stopping_since: Cell::new(None),
@@ -110,7 +132,6 @@
             readings: RefCell::default(),
             roster: RefCell::default(),
             members_fingerprint: Cell::new(0),
-            waiters: RefCell::default(),
             was_ready: Cell::new(false),
         })
     }
@@ -167,6 +188,7 @@
 
     pub(super) fn begin_stop(&self) -> Duration {
         self.stopping_since.set(Some(self.clock.now()));
+        self.forget_brokers();
         let open = self.open_requests.get();
         info!("stop.begin open_requests={open}");
         self.settings.borrow().grace_period
@@ -193,72 +215,32 @@
         {
             let mut peers = self.peers.borrow_mut();
             peers.settle(now);
-            self.scheduler.borrow_mut().keep_peers(|id| peers.is_heard(id, now));
+            self.reach.borrow_mut().keep(|id| peers.is_member(id));
             self.allowances.borrow_mut().keep_peers(|id| peers.is_member(id));
         }
         self.pool.sweep(now);
-        self.wake_waiters(now);
+        self.forget_brokers();
+        let replies = self.broker.borrow_mut().settle(now);
+        self.send_replies(replies);
         self.is_ready();
     }
 
-    /// Logs what placement goes by.
+    /// Logs what placement goes by; the upstreams where this entry brokers.
     pub(super) fn log_load(&self) {
         let (open, connections) = self.open_work();
-        let scheduler = self.scheduler.borrow();
-        let waiting = scheduler.waiting();
-        let upstreams = scheduler.describe();
-        info!("load open={open} connections={connections} waiting={waiting} upstreams={upstreams}");
-    }
-
-    /// Offers a request to the scheduler; the receiver gets its place where it has to wait.
-    pub(super) fn offer(&self, job: crate::scheduler::Job) -> Result<Assignment, Waiting> {
-        let now = self.clock.now();
-        let offer = self.scheduler.borrow_mut().offer(job, now);
-        self.note_load_change();
-        match offer {
-            Offer::Place(assignment) => Ok(assignment),
-            Offer::Refuse(refused) => Err(Waiting::Refused(refused)),
-            Offer::Wait(waiter) => {
-                let (sender, receiver) = oneshot::channel();
-                self.waiters.borrow_mut().insert(waiter, sender);
-                Err(Waiting::For(waiter, receiver))
-            }
-        }
-    }
-
-    /// Tells the other entries of a change at once where requests wait somewhere.
-    pub(super) fn note_load_change(&self) {
-        let small_group = self.peers.borrow().entries() <= SMALL_GROUP;
-        if small_group && self.scheduler.borrow().is_contended() {
-            self.load_changed.notify_one();
-        }
-    }
-
-    /// Takes a request out of the queue whose caller is gone.
-    pub(super) fn withdraw_waiter(&self, waiter: WaiterId) {
-        if self.waiters.borrow_mut().remove(&waiter).is_some() {
-            self.scheduler.borrow_mut().withdraw(waiter);
-        }
+        let asking = self.questions.borrow().len();
+        let broker = self.broker.borrow();
+        let waiting = broker.scheduler().waiting();
+        let brokers = broker.scheduler().services().any(|service| self.is_broker(service));
+        let upstreams =
+            if brokers { broker.scheduler().describe(self.clock.now()) } else { String::new() };
+        info!(
+            "load open={open} connections={connections} asking={asking} brokered_waiting={waiting} upstreams={upstreams}"
+        );
     }
 
-    /// Gives free places to requests that wait.
-    pub(super) fn wake_waiters(&self, now: Instant) {
-        if self.waiters.borrow().is_empty() {
-            return;
-        }
-        let woken = self.scheduler.borrow_mut().wake(now);
-        for woken in woken {
-            let (waiter, result) = match woken {
-                Woken::Place(waiter, assignment) => (waiter, Ok(assignment)),
-                Woken::Refuse(waiter, refused) => (waiter, Err(refused)),
-            };
-            let sender = self.waiters.borrow_mut().remove(&waiter);
-            let Some(sender) = sender else { continue };
-            if let Err(Ok(mut unclaimed)) = sender.send(result) {
-                let ending = crate::scheduler::Ending::Abandoned;
-                self.scheduler.borrow_mut().ended(&mut unclaimed, ending, now);
-            }
-        }
+    fn is_broker(&self, service: ServiceId) -> bool {
+        self.ranked_brokers(service).first() == Some(&self.process_id)
     }
 
     fn apply_roster(&self, change: RosterChange) {
@@ -269,23 +251,23 @@
         let draining = usable.iter().filter(|upstream| upstream.draining).count();
         info!("upstreams.changed known={} draining={draining}", usable.len());
         let now = self.clock.now();
-        let freed = self.scheduler.borrow_mut().set_upstreams(&usable, now);
-        for address in freed {
-            self.pool.forget(address);
-        }
-        self.wake_waiters(now);
+        self.take_upstreams(&usable);
+        let replies = self.broker.borrow_mut().set_upstreams(&usable, now);
+        self.send_replies(replies);
     }
-}
-
-/// Gets the place of a request that waits, or why it gets none.
-pub(super) type PlaceReceiver = oneshot::Receiver<Result<Assignment, Refused>>;
 
-/// Why a request has no place yet.
-pub(super) enum Waiting {
-    /// It waits; the receiver gets the place.
-    For(WaiterId, PlaceReceiver),
-    /// It gets none.
-    Refused(Refused),
+    /// Replaces the upstreams that may be used; connections to those that are gone are closed.
+    fn take_upstreams(&self, usable: &[Upstream]) {
+        let known = usable.iter().map(|upstream| (upstream.id(), upstream.clone())).collect();
+        let before = self.upstreams.replace(known);
+        let upstreams = self.upstreams.borrow();
+        for (id, upstream) in before {
+            if !upstreams.contains_key(&id) {
+                self.pool.forget(upstream.address);
+            }
+        }
+        self.contacts.borrow_mut().keep(|id| upstreams.contains_key(&id));
+    }
 }
 
 impl Directory for Shared {
@@ -353,12 +335,12 @@
             members.into_iter().filter(|member| member.id != self.process_id).collect();
         let mut peers = self.peers.borrow_mut();
         peers.set_members(&others, now);
-        let entries = others.iter().map(|other| Entry { id: other.id, zone: other.zone.clone() });
-        self.scheduler.borrow_mut().set_entries(entries.collect());
         for member in &others {
             self.allowances.borrow_mut().expect_peer(member.id, now);
         }
         info!("members.changed others={} counted={}", others.len(), peers.entries());
+        drop(peers);
+        self.forget_brokers();
     }
 
     fn lose_store(&self, reason: &str) {
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -58,7 +58,7 @@
     let process_id: u64 = rand::random();
     let host = settings.gateway.host.clone();
     let zone = settings.gateway.places.own_zone.clone();
-    let store = settings.store;
+    let (store, cores) = (settings.store, settings.gateway.cores);
     info!("start host={host} process={process_id} store={store}");
     let handle = Gateway {
         settings: settings.gateway.clone(),
@@ -71,7 +71,7 @@
     tokio::task::spawn_local(platform::follow(Follower {
         store,
         host: host.clone(),
-        own: Member { id: process_id, address: handle.addresses().digests, zone },
+        own: Member { id: process_id, address: handle.addresses().digests, zone, cores },
         clock,
         directory: handle.directory(),
     }));
