--- a/components/gateway/src/broker/mod.rs
+++ b/components/gateway/src/broker/mod.rs
@@ -142,7 +142,7 @@
 
     fn free(&mut self, request: Request, observed: Observed, now: Instant) -> Vec<Reply> {
         let Some(held) = self.held.remove(&request) else { return Vec::new() };
-        let woken = self.scheduler.release(held.place, observed, now);
+        let woken = self.scheduler.release(held.place, request.0, observed, now);
         self.reply(woken, now)
     }
 
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::model::{Places, ServiceId, Upstream, UpstreamId};
+use crate::model::{PeerId, Places, ServiceId, Upstream, UpstreamId};
 use place::Choice;
 use queue::Queue;
 use tracked::Tracked;
@@ -124,17 +124,18 @@
             return Offer::Refuse(Refused { reason: RefusedBecause::NoUpstream, retry_after });
         }
         self.worth.count_size(&job);
-        if !self.queue.has_ahead(&job, &self.worth, now)
+        let ahead = self.queue.ahead_of(&job, &self.worth, now);
+        if ahead == 0
             && let Choice::Place(upstream) = self.choose(&job, now)
         {
             return Offer::Place(self.assign(upstream, &job, now));
         }
-        let wait = self.queue.expected_wait(&job, &self.worth, now);
+        let wait = self.queue.wait_behind(job.service, ahead, now);
         if now + wait > job.wait_until {
             self.worth.count_refused(&job, now);
             return Offer::Refuse(Refused { reason: RefusedBecause::Full, retry_after: wait });
         }
-        Offer::Wait(self.queue.push(job))
+        Offer::Wait(self.queue.push(job, &self.worth, now))
     }
 
     /// Refuses what waits in vain, and gives places that are free to what waits, by worth.
@@ -176,7 +177,8 @@
     fn refuse(&mut self, waiter: WaiterId, now: Instant) -> Option<Woken> {
         let job = self.queue.remove(waiter)?;
         self.worth.count_refused(&job, now);
-        let retry_after = self.queue.expected_wait(&job, &self.worth, now);
+        let ahead = self.queue.ahead_of(&job, &self.worth, now);
+        let retry_after = self.queue.wait_behind(job.service, ahead, now);
         let reason = RefusedBecause::Full;
         Some(Woken::Refuse(waiter, Refused { reason, retry_after }))
     }
@@ -191,32 +193,39 @@
         self.queue.len()
     }
 
-    /// Frees a place, and gives it to what waits.
-    pub fn release(&mut self, place: PlaceId, observed: Observed, now: Instant) -> Vec<Woken> {
+    /// Frees a place, and gives it to what waits. `entry` held it.
+    pub fn release(
+        &mut self,
+        place: PlaceId,
+        entry: PeerId,
+        observed: Observed,
+        now: Instant,
+    ) -> Vec<Woken> {
         let Some(upstream) = self.taken.remove(&place) else { return Vec::new() };
         let Some(tracked) = self.upstreams.get_mut(&upstream) else { return Vec::new() };
-        tracked.release(place, observed, now);
+        tracked.release(place, entry, observed, now);
         self.fill(upstream, now)
     }
 
     /// Gives an upstream's free places to waiting requests that do as well there as anywhere.
     fn fill(&mut self, upstream: UpstreamId, now: Instant) -> Vec<Woken> {
         let mut woken = Vec::new();
-        let Some(tracked) = self.upstreams.get(&upstream) else { return woken };
-        let service = ServiceId::of(&tracked.upstream.service);
-        for waiter in self.queue.in_order(service, &self.worth, now) {
-            let Some(tracked) = self.upstreams.get(&upstream) else { break };
-            let Some(job) = self.queue.job(waiter) else { continue };
-            if !tracked.has_place() || !tracked.is_usable(now) {
-                break;
-            }
-            if self.may_use(tracked, job, now) && self.suits(tracked, job, now) {
-                woken.extend(self.place_waiter(waiter, upstream, now));
-            }
+        while let Some(waiter) = self.first_for(upstream, now) {
+            woken.extend(self.place_waiter(waiter, upstream, now));
         }
         woken
     }
 
+    fn first_for(&self, upstream: UpstreamId, now: Instant) -> Option<WaiterId> {
+        let tracked = self.upstreams.get(&upstream)?;
+        if !tracked.has_place() || !tracked.is_usable(now) {
+            return None;
+        }
+        let service = ServiceId::of(&tracked.upstream.service);
+        let suits = |job: &Job| self.may_use(tracked, job, now) && self.suits(tracked, job, now);
+        self.queue.first_that(service, &self.worth, now, suits)
+    }
+
     /// Counts in a place that another scheduler has given.
     pub fn take_foreign(&mut self, upstream: UpstreamId) -> Option<PlaceId> {
         self.next_place += 1;
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -1,7 +1,8 @@
 //! Requests that wait for a place, by service.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::worth::Worth;
@@ -33,15 +34,30 @@
 #[derive(Debug, Default)]
 struct OfService {
     waiting: HashMap<WaiterId, Job>,
-    order: RefCell<Option<Ordered>>,
+    ranks: BTreeMap<Rank, usize>,
+    order: RefCell<Ordered>,
     placed: Option<Rate>,
 }
 
 /// Waiting requests, the first to be served first.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Ordered {
-    at: Instant,
-    waiters: Vec<WaiterId>,
+    at: Option<Instant>,
+    waiters: Vec<(Standing, WaiterId)>,
+}
+
+/// Where a request stands in the order; the least is served first.
+#[derive(Debug, Clone, Copy)]
+struct Standing {
+    /// Its rank is served more often than a more important one that waits.
+    ahead: bool,
+    density: f64,
+}
+
+impl Standing {
+    fn compare(&self, other: &Standing) -> Ordering {
+        self.ahead.cmp(&other.ahead).then(other.density.total_cmp(&self.density))
+    }
 }
 
 /// Requests placed a second, decaying.
@@ -59,6 +75,26 @@
 }
 
 impl OfService {
+    fn push(&mut self, id: WaiterId, job: Job, worth: &Worth, now: Instant) {
+        *self.ranks.entry(job.rank).or_default() += 1;
+        let own = self.standing(&job, worth, now);
+        let order = self.order.get_mut();
+        let position = order.waiters.partition_point(|(other, _)| other.compare(&own).is_le());
+        order.waiters.insert(position, (own, id));
+        self.waiting.insert(id, job);
+    }
+
+    fn remove(&mut self, id: WaiterId) -> Option<Job> {
+        let job = self.waiting.remove(&id)?;
+        if let Some(count) = self.ranks.get_mut(&job.rank) {
+            *count -= 1;
+            if *count == 0 {
+                self.ranks.remove(&job.rank);
+            }
+        }
+        Some(job)
+    }
+
     fn rate(&self, now: Instant) -> f64 {
         self.placed.as_ref().map_or(INITIAL_RATE, |rate| rate.decayed(now)).max(LEAST_RATE)
     }
@@ -68,22 +104,38 @@
         Duration::from_secs_f64((position as f64 + 1.0) / self.rate(now))
     }
 
-    fn ranks(&self) -> Vec<Rank> {
-        let mut ranks: Vec<Rank> = self.waiting.values().map(|job| job.rank).collect();
-        ranks.sort_unstable();
-        ranks.dedup();
-        ranks
+    fn standing(&self, job: &Job, worth: &Worth, now: Instant) -> Standing {
+        let ahead = worth.is_ahead(job.service, job.rank, self.ranks.keys());
+        Standing { ahead, density: worth.density(job, now) }
     }
 
-    fn work_out_order(&self, service: ServiceId, worth: &Worth, now: Instant) -> Vec<WaiterId> {
-        let ranks = self.ranks();
-        let is_ahead: HashMap<Rank, bool> =
-            ranks.iter().map(|rank| (*rank, worth.is_ahead(service, *rank, &ranks))).collect();
-        let key =
-            |(id, job): (&WaiterId, &Job)| (is_ahead[&job.rank], worth.density(job, now), *id);
-        let mut order: Vec<(bool, f64, WaiterId)> = self.waiting.iter().map(key).collect();
-        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
-        order.into_iter().map(|(_, _, id)| id).collect()
+    /// Looks at waiting requests in order; some may have left since it was worked out.
+    fn with_order<T>(
+        &self,
+        worth: &Worth,
+        now: Instant,
+        look: impl FnOnce(&[(Standing, WaiterId)]) -> T,
+    ) -> T {
+        let mut order = self.order.borrow_mut();
+        let is_fresh = |at| now.saturating_duration_since(at) < ORDER_AGE;
+        if !order.at.is_some_and(is_fresh) {
+            let stand = |(id, job): (&WaiterId, &Job)| (self.standing(job, worth, now), *id);
+            order.waiters.clear();
+            order.waiters.extend(self.waiting.iter().map(stand));
+            order.waiters.sort_unstable_by(|a, b| a.0.compare(&b.0).then(a.1.cmp(&b.1)));
+            order.at = Some(now);
+        }
+        look(&order.waiters)
+    }
+
+    fn ahead_of(&self, job: &Job, worth: &Worth, now: Instant) -> usize {
+        if self.waiting.is_empty() {
+            return 0;
+        }
+        let own = self.standing(job, worth, now);
+        self.with_order(worth, now, |order| {
+            order.partition_point(|(standing, _)| standing.compare(&own) == Ordering::Less)
+        })
     }
 }
 
@@ -92,19 +144,17 @@
         self.service_of.len()
     }
 
-    pub(super) fn push(&mut self, job: Job) -> WaiterId {
+    pub(super) fn push(&mut self, job: Job, worth: &Worth, now: Instant) -> WaiterId {
         self.next += 1;
         let id = self.next;
         self.service_of.insert(id, job.service);
-        let of_service = self.services.entry(job.service).or_default();
-        *of_service.order.borrow_mut() = None;
-        of_service.waiting.insert(id, job);
+        self.services.entry(job.service).or_default().push(id, job, worth, now);
         id
     }
 
     pub(super) fn remove(&mut self, waiter: WaiterId) -> Option<Job> {
         let service = self.service_of.remove(&waiter)?;
-        self.services.get_mut(&service)?.waiting.remove(&waiter)
+        self.services.get_mut(&service)?.remove(waiter)
     }
 
     pub(super) fn job(&self, waiter: WaiterId) -> Option<&Job> {
@@ -117,37 +167,16 @@
         waited.map(|(service, _)| *service).collect()
     }
 
-    /// Whether a request of the same service waits that goes first.
-    pub(super) fn has_ahead(&self, job: &Job, worth: &Worth, now: Instant) -> bool {
-        self.ahead_of(job, worth, now) > 0
+    /// How many requests of the same service wait that go first.
+    pub(super) fn ahead_of(&self, job: &Job, worth: &Worth, now: Instant) -> usize {
+        let of_service = self.services.get(&job.service);
+        of_service.map_or(0, |of_service| of_service.ahead_of(job, worth, now))
     }
 
-    fn ahead_of(&self, job: &Job, worth: &Worth, now: Instant) -> usize {
-        let Some(of_service) = self.services.get(&job.service) else { return 0 };
-        if of_service.waiting.is_empty() {
-            return 0;
-        }
-        let mut ranks = of_service.ranks();
-        ranks.push(job.rank);
-        let is_ahead = worth.is_ahead(job.service, job.rank, &ranks);
-        let own = worth.density(job, now);
-        let goes_first = |other: &&Job| {
-            let other_ahead =
-                other.rank != job.rank && worth.is_ahead(job.service, other.rank, &ranks);
-            match (other_ahead, is_ahead) {
-                (false, true) if other.rank != job.rank => true,
-                (true, false) => false,
-                _ => worth.density(other, now) > own,
-            }
-        };
-        of_service.waiting.values().filter(goes_first).count()
-    }
-
-    /// How long a request would wait.
-    pub(super) fn expected_wait(&self, job: &Job, worth: &Worth, now: Instant) -> Duration {
-        let ahead = self.ahead_of(job, worth, now);
-        let rate = self.services.get(&job.service).map_or(INITIAL_RATE, |found| found.rate(now));
-        Duration::from_secs_f64((ahead as f64 + 1.0) / rate)
+    /// How long a request with so many ahead of it would wait.
+    pub(super) fn wait_behind(&self, service: ServiceId, ahead: usize, now: Instant) -> Duration {
+        let of_service = self.services.get(&service);
+        of_service.map_or(Duration::ZERO, |of_service| of_service.wait_at(ahead, now))
     }
 
     /// Counts a request that found a place.
@@ -191,13 +220,23 @@
         now: Instant,
     ) -> Vec<WaiterId> {
         let Some(of_service) = self.services.get(&service) else { return Vec::new() };
-        let mut order = of_service.order.borrow_mut();
-        let stale = |ordered: &Ordered| now.saturating_duration_since(ordered.at) >= ORDER_AGE;
-        if order.as_ref().is_none_or(stale) {
-            let waiters = of_service.work_out_order(service, worth, now);
-            *order = Some(Ordered { at: now, waiters });
-        }
-        let waits = |waiter: &&WaiterId| of_service.waiting.contains_key(waiter);
-        order.iter().flat_map(|ordered| &ordered.waiters).filter(waits).copied().collect()
+        let waits = |waiter: &WaiterId| of_service.waiting.contains_key(waiter);
+        of_service.with_order(worth, now, |order| {
+            order.iter().map(|(_, waiter)| *waiter).filter(waits).collect()
+        })
+    }
+
+    /// The first waiting request of a service that `takes` accepts.
+    pub(super) fn first_that(
+        &self,
+        service: ServiceId,
+        worth: &Worth,
+        now: Instant,
+        takes: impl Fn(&Job) -> bool,
+    ) -> Option<WaiterId> {
+        let of_service = self.services.get(&service)?;
+        let suits = |waiter: &WaiterId| of_service.waiting.get(waiter).is_some_and(&takes);
+        of_service
+            .with_order(worth, now, |order| order.iter().map(|(_, waiter)| *waiter).find(suits))
     }
 }
--- a/components/gateway/src/scheduler/tracked.rs
+++ b/components/gateway/src/scheduler/tracked.rs
@@ -5,7 +5,7 @@
 
 use super::speed::{Speed, milliseconds};
 use super::{Ending, Job, Observed, PlaceId};
-use crate::model::{Upstream, UpstreamId};
+use crate::model::{PeerId, Upstream, UpstreamId};
 
 /// Pause after an upstream had no place: a step or two of its batch.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
@@ -13,6 +13,16 @@
 /// What one ending leaves of the failure rate before it: about the last ten count.
 const FAILURE_MEMORY: f64 = 0.9;
 
+/// Two entries that cannot reach an upstream within this time show that it is gone; one may
+/// be cut off itself.
+const WITNESS_SPAN: Duration = Duration::from_millis(1_500);
+
+/// Pause after an upstream was seen to be gone, doubled at each further time.
+const GONE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Doublings of that pause.
+const GONE_DOUBLINGS: u32 = 2;
+
 /// A place that was given.
 #[derive(Debug)]
 struct Taken {
@@ -31,6 +41,9 @@
     read_at: Instant,
     failure_rate: f64,
     paused_until: Option<Instant>,
+    /// The last time that it could not be reached, and the entry that said so.
+    unreached: Option<(PeerId, Instant)>,
+    pauses: u32,
     /// Its address belongs to another instance; its announcement lapses in a few seconds.
     pub(super) is_gone: bool,
 }
@@ -45,6 +58,8 @@
             read_at: now,
             failure_rate: 0.0,
             paused_until: None,
+            unreached: None,
+            pauses: 0,
             is_gone: false,
         }
     }
@@ -94,8 +109,14 @@
         self.taken.insert(place, Taken { backlog_tokens: 0.0 });
     }
 
-    /// Frees a place and learns from what was seen.
-    pub(super) fn release(&mut self, place: PlaceId, observed: Observed, now: Instant) {
+    /// Frees a place and learns from what its entry saw.
+    pub(super) fn release(
+        &mut self,
+        place: PlaceId,
+        entry: PeerId,
+        observed: Observed,
+        now: Instant,
+    ) {
         let Some(taken) = self.taken.remove(&place) else { return };
         if let Some(elapsed) = observed.first_event
             && taken.backlog_tokens > 0.0
@@ -106,14 +127,30 @@
             self.speed.observe_output(elapsed, tokens);
         }
         match observed.ending {
-            Ending::Served => self.failure_rate *= FAILURE_MEMORY,
+            Ending::Served => {
+                self.failure_rate *= FAILURE_MEMORY;
+                self.unreached = None;
+                self.pauses = 0;
+            }
             Ending::Failed => {
                 self.failure_rate = self.failure_rate * FAILURE_MEMORY + (1.0 - FAILURE_MEMORY);
             }
             Ending::Declined => self.paused_until = Some(now + FULL_PAUSE),
             Ending::Replaced => self.is_gone = true,
-            Ending::Unreachable | Ending::Abandoned => {}
+            Ending::Unreachable => self.note_unreached(entry, now),
+            Ending::Abandoned => {}
+        }
+    }
+
+    fn note_unreached(&mut self, entry: PeerId, now: Instant) {
+        let seconded = self.unreached.is_some_and(|(other, at)| {
+            other != entry && now.saturating_duration_since(at) < WITNESS_SPAN
+        });
+        if seconded {
+            self.paused_until = Some(now + GONE_PAUSE * 2_u32.pow(self.pauses));
+            self.pauses = (self.pauses + 1).min(GONE_DOUBLINGS);
         }
+        self.unreached = Some((entry, now));
     }
 
     /// Time until an answer to a request that is handed over now is whole, in milliseconds.
--- a/components/gateway/src/scheduler/worth.rs
+++ b/components/gateway/src/scheduler/worth.rs
@@ -128,9 +128,14 @@
     }
 
     /// Whether a rank is served more often than one of `waiting` that is more important.
-    pub(super) fn is_ahead(&self, service: ServiceId, rank: Rank, waiting: &[Rank]) -> bool {
+    pub(super) fn is_ahead<'a>(
+        &self,
+        service: ServiceId,
+        rank: Rank,
+        waiting: impl Iterator<Item = &'a Rank>,
+    ) -> bool {
         let of = |rank| self.shares.get(&(service, rank)).map_or(1.0, Share::of_all);
-        let above = waiting.iter().filter(|other| **other < rank);
+        let above = waiting.filter(|other| **other < rank);
         let least = above.map(|other| of(*other)).fold(1.0, f64::min);
         of(rank) > least + SHARE_TOLERANCE
     }
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -1,5 +1,6 @@
 //! Messages between entries.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,9 @@
 /// that was lost, or places that another broker gave.
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(250);
 
+/// Datagrams that are read in one go.
+const DATAGRAMS_AT_ONCE: usize = 32;
+
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -54,9 +58,12 @@
                 shared.tell_holdings();
                 holdings_at = Instant::now() + HOLDINGS_PERIOD;
             }
-            received = shared.socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => shared.hear(&buffer[..length], from),
-                Err(error) => debug!("message.receive error={error}"),
+            ready = shared.socket.readable() => match ready {
+                Ok(()) => shared.hear_all(&mut buffer),
+                Err(error) => {
+                    warn!("message.receive error={error}");
+                    return;
+                }
             }
         }
     }
@@ -150,6 +157,17 @@
         }
     }
 
+    /// Reads what has arrived, up to a bound: other tasks run between.
+    fn hear_all(&self, buffer: &mut [u8]) {
+        for _ in 0..DATAGRAMS_AT_ONCE {
+            match self.socket.try_recv_from(buffer) {
+                Ok((length, from)) => self.hear(&buffer[..length], from),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) => debug!("message.receive error={error}"),
+            }
+        }
+    }
+
     fn hear(&self, bytes: &[u8], from: SocketAddr) {
         let message = match Message::decode(bytes) {
             Ok(message) => message,
