Let neglected ranks and sizes go first, and send callers away from an entry that is cut off

Ruled out: weights alone; four times the worth of a large request did not lift its share in the test. Change: a rank below 0.35 of its service's share, and a size below 0.6 of its kind's, goes first until it is not; an entry that others are two seconds ahead of is not ready, brokers nothing, closes callers' connections after their answers and sends them elsewhere at once. A place that nothing ahead can use is taken at once.

--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -118,6 +118,18 @@
     NotHere,
 }
 
+impl Verdict {
+    /// Its name, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Granted { .. } => "granted",
+            Verdict::Queued => "queued",
+            Verdict::Refused(_) => "refused",
+            Verdict::NotHere => "not_here",
+        }
+    }
+}
+
 /// A datagram between entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -49,6 +49,8 @@
     left_at: Option<Instant>,
     heard_at: Option<Instant>,
     sequence: u32,
+    /// When the store confirmed what it knows, as uptime of this host.
+    confirmed_at: Option<Duration>,
 }
 
 impl Known {
@@ -85,6 +87,7 @@
                 left_at: None,
                 heard_at: None,
                 sequence: 0,
+                confirmed_at: None,
             });
             known.address = member.address;
         }
@@ -102,6 +105,20 @@
         }
     }
 
+    /// Takes in when the store, by this host's uptime, confirmed what a member knows.
+    pub fn note_confirmed(&mut self, id: PeerId, confirmed_at: Duration) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.confirmed_at = known.confirmed_at.max(Some(confirmed_at));
+        }
+    }
+
+    /// When the store last confirmed what any member knows that is still heard.
+    pub fn last_confirmed(&self, now: Instant) -> Option<Duration> {
+        let heard = |at| now.saturating_duration_since(at) < HEARD_MEMORY;
+        let heard = self.known.values().filter(|known| known.heard_at.is_some_and(heard));
+        heard.filter_map(|known| known.confirmed_at).max()
+    }
+
     /// Forgets members whose entry in the store is gone and that were not heard for long.
     pub fn settle(&mut self, now: Instant) {
         self.known.retain(|_, known| {
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -125,8 +125,8 @@
         }
         self.worth.count_size(&job);
         let ahead = self.queue.ahead_of(&job, &self.worth, now);
-        if ahead == 0
-            && let Choice::Place(upstream) = self.choose(&job, now)
+        if let Choice::Place(upstream) = self.choose(&job, now)
+            && !self.is_wanted_before(upstream, &job, ahead, now)
         {
             return Offer::Place(self.assign(upstream, &job, now));
         }
@@ -138,6 +138,20 @@
         Offer::Wait(self.queue.push(job, &self.worth, now))
     }
 
+    /// Whether one of the requests ahead of a new one does as well at an upstream as anywhere.
+    fn is_wanted_before(
+        &self,
+        upstream: UpstreamId,
+        job: &Job,
+        ahead: usize,
+        now: Instant,
+    ) -> bool {
+        let Some(tracked) = self.upstreams.get(&upstream) else { return false };
+        let wants =
+            |other: &Job| self.may_use(tracked, other, now) && self.suits(tracked, other, now);
+        self.queue.any_of_first(job.service, ahead, &self.worth, now, wants)
+    }
+
     /// Refuses what waits in vain, and gives places that are free to what waits, by worth.
     pub fn wake(&mut self, now: Instant) -> Vec<Woken> {
         let mut woken = Vec::new();
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use super::worth::Worth;
+use super::worth::{Turn, Worth};
 use super::{Job, Rank, WaiterId};
 use crate::model::ServiceId;
 
@@ -49,14 +49,13 @@
 /// Where a request stands in the order; the least is served first.
 #[derive(Debug, Clone, Copy)]
 struct Standing {
-    /// Its rank is served more often than a more important one that waits.
-    ahead: bool,
+    turn: Turn,
     density: f64,
 }
 
 impl Standing {
     fn compare(&self, other: &Standing) -> Ordering {
-        self.ahead.cmp(&other.ahead).then(other.density.total_cmp(&self.density))
+        self.turn.cmp(&other.turn).then(other.density.total_cmp(&self.density))
     }
 }
 
@@ -105,8 +104,8 @@
     }
 
     fn standing(&self, job: &Job, worth: &Worth, now: Instant) -> Standing {
-        let ahead = worth.is_ahead(job.service, job.rank, self.ranks.keys());
-        Standing { ahead, density: worth.density(job, now) }
+        let turn = worth.turn(job, self.ranks.keys());
+        Standing { turn, density: worth.density(job, now) }
     }
 
     /// Looks at waiting requests in order; some may have left since it was worked out.
@@ -134,7 +133,7 @@
         }
         let own = self.standing(job, worth, now);
         self.with_order(worth, now, |order| {
-            order.partition_point(|(standing, _)| standing.compare(&own) == Ordering::Less)
+            order.partition_point(|(standing, _)| standing.compare(&own).is_le())
         })
     }
 }
@@ -226,6 +225,24 @@
         })
     }
 
+    /// Whether `takes` accepts any of the first `count` waiting requests of a service.
+    pub(super) fn any_of_first(
+        &self,
+        service: ServiceId,
+        count: usize,
+        worth: &Worth,
+        now: Instant,
+        takes: impl Fn(&Job) -> bool,
+    ) -> bool {
+        let Some(of_service) = self.services.get(&service).filter(|_| count > 0) else {
+            return false;
+        };
+        let takes = |waiter: &WaiterId| of_service.waiting.get(waiter).is_some_and(&takes);
+        of_service.with_order(worth, now, |order| {
+            order.iter().take(count).any(|(_, waiter)| takes(waiter))
+        })
+    }
+
     /// The first waiting request of a service that `takes` accepts.
     pub(super) fn first_that(
         &self,
--- a/components/gateway/src/scheduler/worth.rs
+++ b/components/gateway/src/scheduler/worth.rs
@@ -3,7 +3,8 @@
 //! An engine's places bind under load, so a place goes to the request that brings most for the time
 //! for which it holds the place: its worth, by rank and size, over its cost. Among ranks this alone
 //! would let many cheap requests pass the most important ones, so no rank may be served more often
-//! than a more important one that waits.
+//! than a more important one that waits. What is served much less often than the rest goes first, so
+//! that no rank and no size is starved.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -53,14 +54,59 @@
 /// How much more often a rank may be served than a more important one; the users tolerate 0.05.
 const SHARE_TOLERANCE: f64 = 0.04;
 
-/// Requests of a rank that are taken as served before any was counted.
+/// Sizes from which a request counts as one of the larger and the largest of its kind, in multiples
+/// of the kind's mean: about three in ten and one in ten.
+const LARGER: f64 = 1.0;
+const LARGEST: f64 = 2.2;
+
+/// Part of its kind's share below which a size is neglected; the users' rules ask for a half of it.
+const NEGLECTED_SIZE: f64 = 0.6;
+
+/// Part of its service's share below which a rank is neglected; the users' rules ask for a quarter.
+const NEGLECTED_RANK: f64 = 0.35;
+
+/// Requests of a rank or size that are taken as served before any was counted.
 const INITIAL_SERVED: f64 = 10.0;
 
-/// What is learned of requests: sizes of each kind, and how often each rank is served.
+/// A part of a kind's requests by size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum SizeClass {
+    Usual,
+    Larger,
+    Largest,
+}
+
+impl SizeClass {
+    const ALL: [SizeClass; 3] = [SizeClass::Usual, SizeClass::Larger, SizeClass::Largest];
+
+    fn of(size: f64, mean: f64) -> SizeClass {
+        if size > mean * LARGEST {
+            SizeClass::Largest
+        } else if size > mean * LARGER {
+            SizeClass::Larger
+        } else {
+            SizeClass::Usual
+        }
+    }
+}
+
+/// Among requests that wait, those of an earlier turn go first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// Its rank or size is neglected.
+    First,
+    /// By worth.
+    Usual,
+    /// Its rank is served more often than a more important one that waits.
+    Last,
+}
+
+/// What is learned of requests: sizes of each kind, and how often ranks and sizes are served.
 #[derive(Debug, Default)]
 pub(super) struct Worth {
     sizes: HashMap<KindId, f64>,
-    shares: HashMap<(ServiceId, Rank), Share>,
+    ranks: HashMap<(ServiceId, Rank), Share>,
+    classes: HashMap<(KindId, SizeClass), Share>,
 }
 
 #[derive(Debug)]
@@ -84,7 +130,14 @@
     }
 
     fn of_all(&self) -> f64 {
-        self.served / (self.served + self.refused).max(f64::MIN_POSITIVE)
+        Share::of_several([self].into_iter())
+    }
+
+    fn of_several<'a>(shares: impl Iterator<Item = &'a Share>) -> f64 {
+        let (served, refused) = shares.fold((0.0, 0.0), |(served, refused), share| {
+            (served + share.served, refused + share.refused)
+        });
+        served / (served + refused).max(f64::MIN_POSITIVE)
     }
 }
 
@@ -96,10 +149,14 @@
         *mean = *mean * SIZE_MEMORY + size * (1.0 - SIZE_MEMORY);
     }
 
+    fn mean_size(&self, kind: KindId) -> f64 {
+        self.sizes.get(&kind).copied().unwrap_or(1.0).max(1.0)
+    }
+
     /// Worth of a place, for the time for which the request holds it.
     pub(super) fn density(&self, job: &Job, now: Instant) -> f64 {
-        let mean = self.sizes.get(&job.kind).copied().unwrap_or(1.0).max(1.0);
-        let of_size = WORTH_OF_ANY_SIZE + (1.0 - WORTH_OF_ANY_SIZE) * size(job) / mean;
+        let size = size(job) / self.mean_size(job.kind);
+        let of_size = WORTH_OF_ANY_SIZE + (1.0 - WORTH_OF_ANY_SIZE) * size;
         let in_time = match (now < job.objective_at, job.returning) {
             (true, _) => 1.0,
             (false, true) => WORTH_LATE_RETURNING,
@@ -109,32 +166,65 @@
         (of_rank + WORTH_OF_ANY) * in_time / cost(job)
     }
 
+    /// Where a request stands among those that wait, whose ranks are `waiting`.
+    pub(super) fn turn<'a>(&self, job: &Job, waiting: impl Iterator<Item = &'a Rank>) -> Turn {
+        if self.is_size_neglected(job) || self.is_rank_neglected(job) {
+            Turn::First
+        } else if self.is_ahead(job.service, job.rank, waiting) {
+            Turn::Last
+        } else {
+            Turn::Usual
+        }
+    }
+
+    fn is_size_neglected(&self, job: &Job) -> bool {
+        let class = SizeClass::of(size(job), self.mean_size(job.kind));
+        let Some(own) = self.classes.get(&(job.kind, class)) else { return false };
+        let kind = SizeClass::ALL.iter().filter_map(|class| self.classes.get(&(job.kind, *class)));
+        class != SizeClass::Usual && own.of_all() < NEGLECTED_SIZE * Share::of_several(kind)
+    }
+
+    fn is_rank_neglected(&self, job: &Job) -> bool {
+        let Some(own) = self.ranks.get(&(job.service, job.rank)) else { return false };
+        let of_service = self.ranks.iter().filter(|((service, _), _)| *service == job.service);
+        let service = of_service.map(|(_, share)| share);
+        own.of_all() < NEGLECTED_RANK * Share::of_several(service)
+    }
+
     /// Takes in that a request got a place.
     pub(super) fn count_served(&mut self, job: &Job, now: Instant) {
-        self.share(job, now).served += 1.0;
+        for share in self.shares(job, now) {
+            share.served += 1.0;
+        }
     }
 
     /// Takes in that a request is refused for good. One that may come back is counted then.
     pub(super) fn count_refused(&mut self, job: &Job, now: Instant) {
         if job.returning {
-            self.share(job, now).refused += 1.0;
+            for share in self.shares(job, now) {
+                share.refused += 1.0;
+            }
         }
     }
 
-    fn share(&mut self, job: &Job, now: Instant) -> &mut Share {
-        let share = self.shares.entry((job.service, job.rank)).or_insert_with(|| Share::new(now));
-        share.decay(now);
-        share
+    /// What is counted of a request's rank and of its size.
+    fn shares(&mut self, job: &Job, now: Instant) -> [&mut Share; 2] {
+        let class = SizeClass::of(size(job), self.mean_size(job.kind));
+        let of_rank = self.ranks.entry((job.service, job.rank)).or_insert_with(|| Share::new(now));
+        let of_class = self.classes.entry((job.kind, class)).or_insert_with(|| Share::new(now));
+        of_rank.decay(now);
+        of_class.decay(now);
+        [of_rank, of_class]
     }
 
     /// Whether a rank is served more often than one of `waiting` that is more important.
-    pub(super) fn is_ahead<'a>(
+    fn is_ahead<'a>(
         &self,
         service: ServiceId,
         rank: Rank,
         waiting: impl Iterator<Item = &'a Rank>,
     ) -> bool {
-        let of = |rank| self.shares.get(&(service, rank)).map_or(1.0, Share::of_all);
+        let of = |rank| self.ranks.get(&(service, rank)).map_or(1.0, Share::of_all);
         let above = waiting.filter(|other| **other < rank);
         let least = above.map(|other| of(*other)).fold(1.0, f64::min);
         of(rank) > least + SHARE_TOLERANCE
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -21,6 +21,9 @@
 /// store is asked about once a second.
 const RETRY_WITHOUT_CONFIGURATION: Duration = Duration::from_millis(1_000);
 
+/// When to come back where only this process can't serve: callers' tries reach other entries.
+const RETRY_AT_ANOTHER: Duration = Duration::from_millis(20);
+
 /// How long after the start of a planned stop requests are let in: the balancer turns away after two
 /// missed checks, a second apart.
 const ADMITTED_AT_STOP: Duration = Duration::from_millis(2_800);
@@ -113,8 +116,7 @@
             Refusal::not_run(ResultCode::MalformedRequest).with_message(reason)
         })?;
         self.refuse_while_stopping(arrived)?;
-        let without =
-            || self.not_run(ResultCode::ConfigurationMissing, RETRY_WITHOUT_CONFIGURATION);
+        let without = || self.not_run(ResultCode::ConfigurationMissing, self.retry_elsewhere());
         let known = self.configuration().ok_or_else(without)?;
         let sure = self.honours_keys();
         let Some(route) = known.routes.find(&incoming.host, incoming.target.path()) else {
@@ -158,13 +160,18 @@
         })
     }
 
+    /// When to come back to another entry: at once where others know more of the store.
+    fn retry_elsewhere(&self) -> Duration {
+        if self.is_behind() { RETRY_AT_ANOTHER } else { RETRY_WITHOUT_CONFIGURATION }
+    }
+
     /// A stopping process still serves what comes before the balancer has turned away, and what it
     /// can finish; later requests do better at another entry.
     fn refuse_while_stopping(&self, arrived: Instant) -> Result<(), Refusal> {
         let stopping = self.stopping_since.get();
         if stopping.is_some_and(|since| arrived.saturating_duration_since(since) > ADMITTED_AT_STOP)
         {
-            return Err(self.not_run(ResultCode::Draining, LEAST_RETRY_AFTER));
+            return Err(self.not_run(ResultCode::Draining, RETRY_AT_ANOTHER));
         }
         Ok(())
     }
--- a/components/gateway/src/shell/callers.rs
+++ b/components/gateway/src/shell/callers.rs
@@ -211,7 +211,7 @@
         Err(refusal) => (None, Err(refusal)),
     };
     let elapsed = shared.clock.now().saturating_duration_since(arrived);
-    let close = shared.is_stopping();
+    let close = shared.is_stopping() || shared.is_behind();
     match served {
         Ok(delivery) => {
             shared.metrics.count(tier, "delivered", elapsed);
--- a/components/gateway/src/shell/metrics.rs
+++ b/components/gateway/src/shell/metrics.rs
@@ -24,6 +24,8 @@
     version: IntGauge,
     open_requests: IntGauge,
     waiting: IntGauge,
+    entries: IntGauge,
+    verdicts: IntCounterVec,
     pub(super) upstream_connections: IntCounter,
 }
 
@@ -45,15 +47,24 @@
         let version = gauge("configuration_version", "Version of the configuration in force")?;
         let open_requests = gauge("open_requests", "Requests without a whole answer")?;
         let waiting = gauge("waiting_requests", "Requests that ask for a place or wait for one")?;
+        let entries = gauge("entries", "Entries that this one knows, itself included")?;
+        let verdicts = IntCounterVec::new(
+            Opts::new(
+                "dragonflyfront_gateway_verdicts_total",
+                "What brokers said to this entry's questions for places",
+            ),
+            &["verdict"],
+        )?;
         let upstream_connections = IntCounter::new(
             "dragonflyfront_gateway_upstream_connections_total",
             "Connections opened to upstreams",
         )?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(seconds.clone()))?;
-        for gauge in [&version, &open_requests, &waiting] {
+        for gauge in [&version, &open_requests, &waiting, &entries] {
             registry.register(Box::new(gauge.clone()))?;
         }
+        registry.register(Box::new(verdicts.clone()))?;
         registry.register(Box::new(upstream_connections.clone()))?;
         Ok(Metrics {
             registry,
@@ -62,6 +73,8 @@
             version,
             open_requests,
             waiting,
+            entries,
+            verdicts,
             upstream_connections,
         })
     }
@@ -73,6 +86,11 @@
         self.seconds.with_label_values(&[tier.as_str()]).observe(elapsed.as_secs_f64());
     }
 
+    /// Counts what a broker said, or that it said nothing.
+    pub(super) fn count_verdict(&self, verdict: &str) {
+        self.verdicts.with_label_values(&[verdict]).inc();
+    }
+
     pub(super) fn show_version(&self, version: u64) {
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
@@ -97,6 +115,8 @@
         shared.metrics.open_requests.set(i64::try_from(open).unwrap_or(i64::MAX));
         let waiting = shared.questions.borrow().len();
         shared.metrics.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        let entries = shared.peers.borrow().entries();
+        shared.metrics.entries.set(i64::try_from(entries).unwrap_or(i64::MAX));
         Response::build(StatusCode::OK)
             .content_type("text/plain; version=0.0.4")
             .body(shared.metrics.render())
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -188,6 +188,11 @@
         if !self.peers.borrow_mut().accept(digest.from, digest.sequence, now) {
             return;
         }
+        if let Some(age_ms) = digest.confirmed_ms_ago {
+            let age = Duration::from_millis(age_ms.into());
+            let confirmed_at = self.clock.uptime().saturating_sub(age);
+            self.peers.borrow_mut().note_confirmed(digest.from, confirmed_at);
+        }
         self.hear_reading(digest);
         self.allowances.borrow_mut().hear_peer(digest.from, &digest.granted, now);
     }
--- a/components/gateway/src/shell/places.rs
+++ b/components/gateway/src/shell/places.rs
@@ -92,6 +92,9 @@
             if queued { (ASK_AGAIN_QUEUED, NEXT_ANSWER) } else { (ASK_AGAIN, FIRST_ANSWER) };
         let verdict = timeout(again, question.verdicts.recv()).await;
         let now = shared.clock.now();
+        if let Ok(Some(verdict)) = &verdict {
+            shared.metrics.count_verdict(verdict.name());
+        }
         match verdict {
             Ok(Some(Verdict::Queued)) => (heard_at, queued) = (now, true),
             Ok(Some(Verdict::Granted { upstream })) => {
@@ -140,7 +143,8 @@
         let mut brokers = self.brokers.borrow_mut();
         let rank = || {
             let mut candidates = self.peers.borrow().candidates(self.clock.now());
-            if !self.is_stopping() || candidates.is_empty() {
+            let leaving = self.is_stopping() || self.is_behind();
+            if !leaving || candidates.is_empty() {
                 let cores = self.settings.borrow().cores;
                 candidates.push(Candidate { id: self.process_id, cores });
             }
@@ -155,6 +159,7 @@
     }
 
     fn pass_over(&self, broker: PeerId, why: &str, now: Instant) {
+        self.metrics.count_verdict("passed_over");
         info!("broker.passed_over broker={broker} reason={why:?}");
         self.reach.borrow_mut().note_silence(broker, now);
     }
@@ -259,7 +264,8 @@
         let now = self.clock.now();
         let replies = match message {
             Message::Ask { from, ticket, job } => {
-                let verdict = if self.is_stopping() && from != self.process_id {
+                let leaving = self.is_stopping() || self.is_behind();
+                let verdict = if leaving && from != self.process_id {
                     Verdict::NotHere
                 } else {
                     self.broker.borrow_mut().ask(from, zone, ticket, &job, now)
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -41,6 +41,10 @@
     probe: Duration::from_millis(1_000),
 };
 
+/// How much later other entries must have heard of the store for this one to count as cut off from it:
+/// two readings and a digest.
+const BEHIND: Duration = Duration::from_millis(2_000);
+
 /// A configuration in force, in the form that requests look things up in.
 #[derive(Debug, Default)]
 pub(super) struct InForce {
@@ -155,11 +159,21 @@
         age.map_or(u128::MAX, |age| age.as_millis())
     }
 
+    /// Whether other entries know the store's state of a later time: this one can't reach it, and they
+    /// serve better.
+    pub(super) fn is_behind(&self) -> bool {
+        let Some(last) = self.peers.borrow().last_confirmed(self.clock.now()) else { return false };
+        let age = self.freshness.get().age(self.clock.uptime());
+        let own = age.map_or(Duration::ZERO, |age| self.clock.uptime().saturating_sub(age));
+        own + BEHIND < last
+    }
+
     /// Whether the process should get new connections.
     pub(super) fn is_ready(&self) -> bool {
         let ready = !self.is_stopping()
             && self.configuration().is_some()
             && self.honours_keys()
+            && !self.is_behind()
             && !self.roster.borrow().usable().is_empty();
         if self.was_ready.replace(ready) != ready {
             let age_ms = self.confirmation_age_ms();
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -1,14 +1,13 @@
 //! Who counts as an entry, and which digests are believed.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use gateway::allowance::Granted;
+use gateway::broker::Message;
 use gateway::peers::{Digest, Member, Peers};
-use gateway::scheduler::{Load, Rank, Waiting};
 
 fn member(id: u64, port: u16) -> Member {
-    Member { id, address: ([127, 0, 0, 1], port).into(), zone: "a".to_owned() }
+    Member { id, address: ([127, 0, 0, 1], port).into(), zone: "a".to_owned(), cores: 0.2 }
 }
 
 #[test]
@@ -61,14 +60,23 @@
         fingerprint: 3,
         confirmed_ms_ago: Some(120),
         echoes: vec![(1, 2)],
-        loads: HashMap::from([(7, Load { running: 3, backlog_tokens: 9_000 })])
-            .into_iter()
-            .collect(),
-        replaced: vec![5],
-        waiting: vec![Waiting { service: 1, rank: Rank { tier: 1, route_tier: 2 }, count: 4 }],
         granted: vec![Granted { customer: 1, total: 10.5, level: -3.0 }],
     };
-    let bytes = digest.encode().expect("encodes");
-    assert_eq!(Digest::decode(&bytes), Ok(digest));
-    assert!(Digest::decode(&bytes[..3]).is_err());
+    let message = Message::Digest(digest);
+    let bytes = message.encode().expect("encodes");
+    assert_eq!(Message::decode(&bytes), Ok(message));
+    assert!(Message::decode(&bytes[..3]).is_err());
+}
+
+#[test]
+fn the_last_confirmation_is_that_of_members_that_are_heard() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    peers.set_members(&[member(1, 7000), member(2, 7001)], now);
+    peers.accept(1, 1, now);
+    peers.note_confirmed(1, Duration::from_secs(9));
+    peers.note_confirmed(1, Duration::from_secs(8));
+    peers.note_confirmed(2, Duration::from_secs(20));
+    assert_eq!(peers.last_confirmed(now), Some(Duration::from_secs(9)), "the other was not heard");
+    assert_eq!(peers.last_confirmed(now + Duration::from_secs(2)), None);
 }
--- a/components/gateway/tests/scheduler.rs
+++ b/components/gateway/tests/scheduler.rs
@@ -1,17 +1,20 @@
 //! Which upstream a request goes to, and when.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use gateway::model::{Places, Upstream};
+use gateway::model::{Places, ServiceId, Upstream};
 use gateway::scheduler::{
-    Assignment, Ending, Entry, Job, Load, Offer, Rank, RefusedBecause, Scheduler, Waiting, Woken,
+    Ending, Job, KindId, Observed, Offer, Place, PlaceId, Rank, RefusedBecause, Scheduler,
+    WaiterId, Woken,
 };
 
 const SLOTS: u32 = 4;
+const ENTRY: u64 = 1;
+const OTHER_ENTRY: u64 = 2;
 const TOP: Rank = Rank { tier: 1, route_tier: 0 };
 const MIDDLE: Rank = Rank { tier: 1, route_tier: 1 };
 const LOW: Rank = Rank { tier: 1, route_tier: 2 };
+const SERVED: Observed = Observed { ending: Ending::Served, first_event: None, output: None };
 
 fn upstream(instance: &str, zone: &str) -> Upstream {
     Upstream {
@@ -29,40 +32,45 @@
     let regions = [("a", "r"), ("b", "r"), ("c", "s")];
     let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
     let places = Places { own_zone: "a".to_owned(), regions: regions.into_iter().collect() };
-    let mut scheduler = Scheduler::new(places, 1);
+    let mut scheduler = Scheduler::new(places);
     scheduler.set_upstreams(upstreams, now);
     scheduler
 }
 
 fn job(rank: Rank, output_tokens: u32, now: Instant) -> Job {
     Job {
-        service: "models".to_owned(),
+        service: ServiceId::of("models"),
+        kind: KindId(rank.route_tier.into()),
         rank,
+        zone: "a".into(),
         prompt_tokens: 600,
         output_tokens,
         tokens_per_event: 1,
         session_part: None,
+        returning: false,
         arrived: now,
         objective_at: now + Duration::from_millis(600),
         pause_objective: None,
         wait_until: now + Duration::from_millis(1_800),
         limit_at: now + Duration::from_secs(12),
         excluded: vec![],
+        doubtful: vec![],
     }
 }
 
-fn place(scheduler: &mut Scheduler, job: Job, now: Instant) -> Option<Assignment> {
+fn place(scheduler: &mut Scheduler, job: Job, now: Instant) -> Option<Place> {
     match scheduler.offer(job, now) {
-        Offer::Place(assignment) => Some(assignment),
+        Offer::Place(place) => Some(place),
         Offer::Wait(_) | Offer::Refuse(_) => None,
     }
 }
 
-fn fill(scheduler: &mut Scheduler, places: u32, now: Instant) -> Vec<Assignment> {
-    (0..places).map(|_| place(scheduler, job(MIDDLE, 100, now), now).expect("a place")).collect()
+fn fill(scheduler: &mut Scheduler, places: u32, now: Instant) -> Vec<PlaceId> {
+    let fill_one = |_| place(scheduler, job(MIDDLE, 100, now), now).expect("a place").id;
+    (0..places).map(fill_one).collect()
 }
 
-fn wait(scheduler: &mut Scheduler, job: Job, now: Instant) -> u64 {
+fn wait(scheduler: &mut Scheduler, job: Job, now: Instant) -> WaiterId {
     let waiter = match scheduler.offer(job, now) {
         Offer::Wait(waiter) => Some(waiter),
         Offer::Place(_) | Offer::Refuse(_) => None,
@@ -70,7 +78,7 @@
     waiter.expect("it waits")
 }
 
-fn placed(woken: &[Woken]) -> Vec<u64> {
+fn placed(woken: &[Woken]) -> Vec<WaiterId> {
     let place = |woken: &Woken| match woken {
         Woken::Place(waiter, _) => Some(*waiter),
         Woken::Refuse(..) => None,
@@ -87,66 +95,50 @@
 }
 
 #[test]
-fn what_peers_have_in_flight_counts() {
+fn places_that_another_scheduler_gave_count() {
     let now = Instant::now();
     let one = upstream("one", "a");
     let mut scheduler = scheduler(std::slice::from_ref(&one), now);
-    let mut peer = scheduler_id_of(&one, now);
-    peer.running = SLOTS - 1;
-    scheduler.hear_peer(9, &HashMap::from([(peer.short_id, peer.load())]), &[], &[]);
+    for _ in 1..SLOTS {
+        scheduler.take_foreign(one.id()).expect("a known upstream");
+    }
     assert!(place(&mut scheduler, job(TOP, 10, now), now).is_some());
     assert!(place(&mut scheduler, job(TOP, 10, now), now).is_none());
 }
 
-/// What another entry says of an upstream.
-struct Told {
-    short_id: u32,
-    running: u32,
-}
-
-impl Told {
-    fn load(&self) -> Load {
-        Load { running: self.running, backlog_tokens: 0 }
-    }
-}
-
-fn scheduler_id_of(upstream: &Upstream, now: Instant) -> Told {
-    let mut other = scheduler(std::slice::from_ref(upstream), now);
-    fill(&mut other, 1, now);
-    let (short_id, load) = other.own_loads().next().expect("one is in flight");
-    Told { short_id, running: load.running }
-}
-
 #[test]
-fn the_most_important_then_the_cheapest_goes_first() {
+fn the_more_important_and_the_cheaper_goes_first() {
     let now = Instant::now();
     let mut scheduler = scheduler(&[upstream("one", "a")], now);
     let mut running = fill(&mut scheduler, SLOTS, now);
     let long = wait(&mut scheduler, job(MIDDLE, 900, now), now);
-    let short = wait(&mut scheduler, job(MIDDLE, 20, now), now);
-    let top = wait(&mut scheduler, job(TOP, 2_000, now), now);
-    for expected in [top, short, long] {
-        let mut ended = running.pop().expect("one is running");
-        scheduler.ended(&mut ended, Ending::Served, now);
-        assert_eq!(placed(&scheduler.wake(now)), [expected]);
+    let low = wait(&mut scheduler, job(LOW, 110, now), now);
+    let usual = wait(&mut scheduler, job(MIDDLE, 100, now), now);
+    let top = wait(&mut scheduler, job(TOP, 100, now), now);
+    let mut order = Vec::new();
+    for _ in 0..SLOTS {
+        let ended = running.pop().expect("one is running");
+        order.extend(placed(&scheduler.release(ended, ENTRY, SERVED, now)));
     }
+    assert_eq!(order, [top, usual, long, low]);
 }
 
 #[test]
-fn the_lowest_rank_gets_one_place_in_four() {
+fn what_is_late_goes_after_what_can_be_in_time_unless_it_has_no_further_try() {
     let now = Instant::now();
     let mut scheduler = scheduler(&[upstream("one", "a")], now);
     let mut running = fill(&mut scheduler, SLOTS, now);
-    let low = wait(&mut scheduler, job(LOW, 10, now), now);
-    let tops: Vec<u64> = (0..4).map(|_| wait(&mut scheduler, job(TOP, 100, now), now)).collect();
+    let late = Job { objective_at: now, ..job(MIDDLE, 100, now) };
+    let returning = Job { returning: true, ..late.clone() };
+    let late = wait(&mut scheduler, late, now);
+    let returning = wait(&mut scheduler, returning, now);
+    let in_time = wait(&mut scheduler, job(MIDDLE, 100, now), now);
     let mut order = Vec::new();
-    for _ in 0..4 {
-        let mut ended = running.pop().expect("one is running");
-        scheduler.ended(&mut ended, Ending::Served, now);
-        order.extend(placed(&scheduler.wake(now)));
+    for _ in 0..3 {
+        let ended = running.pop().expect("one is running");
+        order.extend(placed(&scheduler.release(ended, ENTRY, SERVED, now)));
     }
-    assert_eq!(order.iter().filter(|waiter| tops.contains(waiter)).count(), 3);
-    assert!(order.contains(&low));
+    assert_eq!(order, [in_time, returning, late]);
 }
 
 #[test]
@@ -163,11 +155,22 @@
     assert!(!why.retry_after.is_zero());
 }
 
+#[test]
+fn what_cannot_have_a_place_in_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(&[upstream("one", "a")], now);
+    fill(&mut scheduler, SLOTS, now);
+    let refused = (0..200)
+        .filter(|_| matches!(scheduler.offer(job(MIDDLE, 100, now), now), Offer::Refuse(_)))
+        .count();
+    assert!(refused > 100, "{refused} of 200 cannot be placed within 1.8 s");
+}
+
 #[test]
 fn an_unknown_service_is_refused_at_once() {
     let now = Instant::now();
     let mut scheduler = scheduler(&[upstream("one", "a")], now);
-    let unknown = Job { service: "other".to_owned(), ..job(TOP, 10, now) };
+    let unknown = Job { service: ServiceId::of("other"), ..job(TOP, 10, now) };
     let offer = scheduler.offer(unknown, now);
     let Offer::Refuse(refused) = offer else { panic!("{offer:?}") };
     assert_eq!(refused.reason, RefusedBecause::NoUpstream);
@@ -177,81 +180,210 @@
 fn draining_excluded_and_replaced_upstreams_get_nothing() {
     let now = Instant::now();
     let draining = Upstream { draining: true, ..upstream("draining", "a") };
-    let upstreams = [draining, upstream("replaced", "a"), upstream("excluded", "a")];
+    let excluded = upstream("excluded", "a");
+    let upstreams = [draining, upstream("replaced", "a"), excluded.clone()];
     let mut scheduler = scheduler(&upstreams, now);
-    let without = Job { excluded: vec!["excluded".into()], ..job(TOP, 10, now) };
-    let mut first = place(&mut scheduler, without.clone(), now).expect("a place");
+    let without = Job { excluded: vec![excluded.id()], ..job(TOP, 10, now) };
+    let first = place(&mut scheduler, without.clone(), now).expect("a place");
     assert_eq!(&*first.instance, "replaced");
-    scheduler.ended(&mut first, Ending::Replaced, now);
+    scheduler.release(first.id, ENTRY, Observed::only(Ending::Replaced), now);
     assert!(place(&mut scheduler, without, now).is_none());
-    assert_eq!(scheduler.replaced().len(), 1, "the other entries are told");
 }
 
 #[test]
-fn an_upstream_that_can_not_be_reached_is_left_alone_while_others_have_places() {
+fn an_upstream_that_its_entry_can_hardly_reach_is_the_last_choice() {
     let now = Instant::now();
-    let mut scheduler = scheduler(&[upstream("near", "a"), upstream("far", "c")], now);
-    let mut first = place(&mut scheduler, job(TOP, 10, now), now).expect("a place");
+    let near = upstream("near", "a");
+    let mut scheduler = scheduler(&[near.clone(), upstream("far", "c")], now);
+    let first = place(&mut scheduler, job(TOP, 10, now), now).expect("a place");
     assert_eq!(&*first.instance, "near");
-    scheduler.ended(&mut first, Ending::Unreachable, now);
-    let second = place(&mut scheduler, job(TOP, 10, now), now).expect("a place");
+    let doubtful = Job { doubtful: vec![near.id()], ..job(TOP, 10, now) };
+    let second = place(&mut scheduler, doubtful, now).expect("a place");
     assert_eq!(&*second.instance, "far");
 }
 
 #[test]
-fn a_place_is_left_to_something_more_important_at_another_entry() {
+fn an_upstream_that_two_entries_cannot_reach_is_left_alone() {
     let now = Instant::now();
     let mut scheduler = scheduler(&[upstream("one", "a")], now);
-    scheduler.set_entries(vec![Entry { id: 9, zone: "b".to_owned() }]);
-    let mut running = fill(&mut scheduler, SLOTS, now);
-    wait(&mut scheduler, job(LOW, 10, now), now);
-    let elsewhere = waiting_at_another_entry(now);
-    scheduler.hear_peer(9, &HashMap::new(), &elsewhere, &[]);
-    let mut ended = running.pop().expect("one is running");
-    scheduler.ended(&mut ended, Ending::Served, now);
-    assert!(placed(&scheduler.wake(now)).is_empty());
-    scheduler.hear_peer(9, &HashMap::new(), &[], &[]);
-    let later = now + Duration::from_millis(100);
-    assert_eq!(placed(&scheduler.wake(later)).len(), 1, "nothing waits there any more");
+    let unreachable = Observed::only(Ending::Unreachable);
+    for entry in [ENTRY, ENTRY] {
+        let found = place(&mut scheduler, job(TOP, 10, now), now).expect("one entry shows nothing");
+        scheduler.release(found.id, entry, unreachable, now);
+    }
+    let found = place(&mut scheduler, job(TOP, 10, now), now).expect("a place");
+    scheduler.release(found.id, OTHER_ENTRY, unreachable, now);
+    assert!(place(&mut scheduler, job(TOP, 10, now), now).is_none());
+    let later = now + Duration::from_millis(600);
+    assert!(place(&mut scheduler, job(TOP, 10, later), later).is_some(), "it is tried again");
 }
 
-fn waiting_at_another_entry(now: Instant) -> Vec<Waiting> {
-    let mut other = scheduler(&[upstream("one", "a")], now);
-    fill(&mut other, SLOTS, now);
-    wait(&mut other, job(TOP, 10, now), now);
-    other.own_waiting()
+/// Tells a scheduler how an upstream performs, by one answer.
+fn teach(scheduler: &mut Scheduler, instance: &str, ms_per_token: u64, now: Instant) {
+    let mut others = Vec::new();
+    loop {
+        let found = place(scheduler, job(TOP, 10, now), now).expect("a place");
+        if &*found.instance == instance {
+            let output = Duration::from_millis(ms_per_token * 4_000);
+            let first_event = Some(Duration::from_millis(ms_per_token * 10));
+            let observed =
+                Observed { ending: Ending::Served, first_event, output: Some((output, 4_000)) };
+            scheduler.release(found.id, ENTRY, observed, now);
+            break;
+        }
+        others.push(found.id);
+    }
+    for id in others {
+        scheduler.release(id, ENTRY, Observed::only(Ending::Abandoned), now);
+    }
 }
 
 #[test]
-fn many_entries_with_the_same_knowledge_do_not_all_take_the_same_places() {
+fn a_long_answer_waits_for_an_upstream_that_finishes_it_in_time() {
     let now = Instant::now();
-    let entries = 30;
+    let mut scheduler = scheduler(&[upstream("slow", "a"), upstream("fast", "b")], now);
+    teach(&mut scheduler, "slow", 13, now);
+    teach(&mut scheduler, "fast", 2, now);
+    let mut on_fast = Vec::new();
+    for _ in 0..SLOTS {
+        let found = place(&mut scheduler, job(TOP, 2_000, now), now).expect("a place");
+        assert_eq!(&*found.instance, "fast", "2,000 tokens take the slow one 26 of 12 s");
+        on_fast.push(found.id);
+    }
+    let long = wait(&mut scheduler, job(TOP, 2_000, now), now);
+    let short = place(&mut scheduler, job(LOW, 20, now), now);
+    assert!(short.is_none_or(|found| &*found.instance == "slow"));
+    let ended = on_fast.pop().expect("one is running");
+    let woken = scheduler.release(ended, ENTRY, SERVED, now);
+    assert!(placed(&woken).contains(&long), "{woken:?}");
+}
+
+/// Requests over some time at twice what the upstreams can carry.
+struct Overload {
+    kinds: Kinds,
+    scheduler: Scheduler,
+    now: Instant,
+    running: Vec<(Instant, PlaceId)>,
+    waiting: Vec<(WaiterId, usize)>,
+    /// Asked and served, by rank and size.
+    counts: [[u32; 2]; 6],
+}
+
+/// Ranks and output tokens of usual and of large requests.
+type Kinds = [(Rank, u32); 6];
+
+const CHEAP_TOP: Kinds =
+    [(TOP, 200), (TOP, 2_000), (MIDDLE, 150), (MIDDLE, 1_500), (LOW, 10), (LOW, 100)];
+
+/// The most important cost so much that all others bring more for the time of a place.
+const COSTLY_TOP: Kinds =
+    [(TOP, 1_500), (TOP, 2_000), (MIDDLE, 40), (MIDDLE, 400), (LOW, 2), (LOW, 20)];
+
+/// Of ten requests of a rank, one is large.
+const LARGE_EVERY: usize = 10;
+
+impl Overload {
+    fn ends_at(&self, kind: usize) -> Instant {
+        self.now + Duration::from_millis(20 + 4 * u64::from(self.kinds[kind].1))
+    }
+
+    fn take(&mut self, woken: Vec<Woken>) {
+        for woken in woken {
+            let (waiter, found) = match woken {
+                Woken::Place(waiter, found) => (waiter, Some(found)),
+                Woken::Refuse(waiter, _) => (waiter, None),
+            };
+            let position = self.waiting.iter().position(|(id, _)| *id == waiter);
+            let (_, kind) = self.waiting.swap_remove(position.expect("it waits"));
+            if let Some(found) = found {
+                self.counts[kind][1] += 1;
+                self.running.push((self.ends_at(kind), found.id));
+            }
+        }
+    }
+
+    fn ask(&mut self, kind: usize) {
+        self.counts[kind][0] += 1;
+        let (rank, output_tokens) = self.kinds[kind];
+        let asked = Job { returning: true, ..job(rank, output_tokens, self.now) };
+        match self.scheduler.offer(asked, self.now) {
+            Offer::Place(found) => {
+                self.counts[kind][1] += 1;
+                self.running.push((self.ends_at(kind), found.id));
+            }
+            Offer::Wait(waiter) => self.waiting.push((waiter, kind)),
+            Offer::Refuse(_) => {}
+        }
+    }
+
+    fn end_due(&mut self) {
+        let now = self.now;
+        let due: Vec<PlaceId> =
+            self.running.iter().filter(|(at, _)| *at <= now).map(|(_, id)| *id).collect();
+        self.running.retain(|(at, _)| *at > now);
+        for id in due {
+            let woken = self.scheduler.release(id, ENTRY, SERVED, now);
+            self.take(woken);
+        }
+        let woken = self.scheduler.wake(now);
+        self.take(woken);
+    }
+
+    /// Served of asked, of the kinds of some indices.
+    fn share(&self, kinds: &[usize]) -> f64 {
+        let sum = |part: usize| kinds.iter().map(|kind| self.counts[*kind][part]).sum::<u32>();
+        f64::from(sum(1)) / f64::from(sum(0))
+    }
+}
+
+fn overload(kinds: Kinds) -> Overload {
+    let start = Instant::now();
     let upstreams: Vec<Upstream> =
-        (0..20).map(|number| upstream(&format!("u{number}"), "a")).collect();
-    let others = |own: u64| {
-        let others = (0..entries).filter(move |id| *id != own);
-        others.map(|id| Entry { id, zone: "a".to_owned() }).collect()
+        (0..10).map(|number| upstream(&format!("u{number}"), "a")).collect();
+    let mut overload = Overload {
+        kinds,
+        scheduler: scheduler(&upstreams, start),
+        now: start,
+        running: Vec::new(),
+        waiting: Vec::new(),
+        counts: [[0; 2]; 6],
     };
-    let mut handed_over = 0;
-    for own in 0..entries {
-        let places = Places { own_zone: "a".to_owned(), regions: HashMap::new() };
-        let mut scheduler = Scheduler::new(places, own);
-        scheduler.set_upstreams(&upstreams, now);
-        scheduler.set_entries(others(own));
-        // The others are known to have filled every place.
-        let full: HashMap<u32, Load> = upstreams
-            .iter()
-            .map(|upstream| {
-                (
-                    scheduler_id_of(upstream, now).short_id,
-                    Load { running: SLOTS, backlog_tokens: 0 },
-                )
-            })
-            .collect();
-        scheduler.hear_peer(1_000, &full, &[], &[]);
-        while place(&mut scheduler, job(TOP, 10, now), now).is_some() {
-            handed_over += 1;
+    // Of cheap ones, 38 top, 38 middle and 67 low requests a second hold about 100 places; there are
+    // 40.
+    for step in 0..30_000_u64 {
+        overload.now = start + Duration::from_millis(step);
+        for (rank, period_ms) in [26, 26, 15].into_iter().enumerate() {
+            if step % period_ms == 0 {
+                let large = (step / period_ms) as usize % LARGE_EVERY == 0;
+                overload.ask(2 * rank + usize::from(large));
+            }
+        }
+        overload.end_due();
+    }
+    overload
+}
+
+#[test]
+fn no_rank_is_served_more_often_than_a_more_important_one() {
+    for kinds in [CHEAP_TOP, COSTLY_TOP] {
+        let overload = overload(kinds);
+        let shares = [[0, 1], [2, 3], [4, 5]].map(|kinds| overload.share(&kinds));
+        assert!(shares[0] < 0.99, "it is no overload: {shares:?}");
+        // The users tolerate five in a hundred.
+        assert!(shares[1] <= shares[0] + 0.05 && shares[2] <= shares[1] + 0.05, "{shares:?}");
+    }
+}
+
+#[test]
+fn no_rank_and_no_size_is_starved() {
+    for kinds in [CHEAP_TOP, COSTLY_TOP] {
+        let overload = overload(kinds);
+        let all = overload.share(&[0, 1, 2, 3, 4, 5]);
+        for rank in 0..3 {
+            let of_rank = overload.share(&[2 * rank, 2 * rank + 1]);
+            let of_large = overload.share(&[2 * rank + 1]);
+            assert!(of_rank >= all / 4.0, "rank {rank}: {of_rank:.2} of {all:.2}");
+            assert!(of_large >= of_rank / 2.0, "large of {rank}: {of_large:.2} of {of_rank:.2}");
         }
     }
-    assert_eq!(handed_over, 20 * SLOTS, "each place has one owner");
 }
