Keep each customer's allowance at one entry that all work out alike

Change: an election per customer, like the broker of a service. The keeper holds the bucket, entries draw credit that lives for 1 s, the next in rank holds a copy and takes over after 600 ms without one; without any answer an entry lives on its even share.

--- /dev/null
+++ b/components/gateway/src/allowance/keeper.rs
@@ -0,0 +1,226 @@
+//! Buckets of customers, at the entry that keeps them.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::{Credit, CustomerId, Draw, Level, Tolerance};
+use crate::model::{Allowance, PeerId};
+
+/// How long after members came or went a keeper without a copy of a bucket grants nothing: until all
+/// entries know, the one before may grant as well.
+const TAKEOVER: Duration = Duration::from_millis(600);
+
+/// How much more than the allowance a bucket regains: callers whose requests are counted at the edge of
+/// a window get theirs, and the operators tolerate 1.1.
+const REGAINED_SHARE: f64 = 1.05;
+
+/// Part of the operators' slack by which a bucket may be overdrawn. Requests larger than what is left
+/// would never be granted in a shortage otherwise.
+const OVERDRAFT_SHARE: f64 = 0.25;
+
+/// Part of a full bucket above which entries get credit for requests that are still to come.
+const AHEAD_SHARE: f64 = 0.5;
+
+/// Part of what a bucket holds that one entry gets ahead at most.
+const MOST_AHEAD: f64 = 0.1;
+
+/// How long after the last draw a bucket is still copied; a full one needs no copy.
+const COPIED_FOR: Duration = Duration::from_secs(10);
+
+/// How long a bucket that was handed over is kept by the new keeper while others may not know yet that
+/// the old one has left; two digests to all zones.
+const ENTRUSTED_FOR: Duration = Duration::from_millis(1_700);
+
+/// How long answers are remembered for questions that come again.
+const REMEMBERED: Duration = Duration::from_secs(1);
+
+/// What an entry is to a customer's bucket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It keeps it.
+    Keeper,
+    /// It is the next in the ranking, and the keeper has fallen silent.
+    StandIn,
+    /// Neither.
+    Other,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    level: f64,
+    filled_at: Instant,
+    /// Whether this entry was its keeper when it was last looked at.
+    kept: bool,
+    drawn_at: Instant,
+    /// Until when this entry keeps it although others may rank the one before first.
+    entrusted_until: Option<Instant>,
+}
+
+/// A question of an entry.
+type Question = (PeerId, u32);
+
+/// The buckets that this entry keeps.
+#[derive(Debug)]
+pub struct Keeper {
+    buckets: HashMap<CustomerId, Bucket>,
+    /// Since when this entry keeps the customers that it has no bucket of.
+    keeps_since: Instant,
+    answered: HashMap<Question, Credit>,
+    answered_at: VecDeque<(Instant, Question)>,
+}
+
+impl Keeper {
+    /// A keeper that starts at `now`.
+    pub fn new(now: Instant) -> Keeper {
+        Keeper {
+            buckets: HashMap::new(),
+            keeps_since: now,
+            answered: HashMap::new(),
+            answered_at: VecDeque::new(),
+        }
+    }
+
+    /// Takes in that members came or went. Gives back the buckets to hand over, as others keep them
+    /// now.
+    pub fn change_members(
+        &mut self,
+        standing: impl Fn(CustomerId) -> Standing,
+        now: Instant,
+    ) -> Vec<Level> {
+        self.keeps_since = now;
+        let mut handed_over = Vec::new();
+        for (customer, bucket) in &mut self.buckets {
+            let keeps = standing(*customer) == Standing::Keeper || bucket.is_entrusted(now);
+            if bucket.kept && !keeps {
+                handed_over.push(Level { customer: *customer, units: bucket.level });
+            }
+            bucket.kept = keeps;
+        }
+        handed_over
+    }
+
+    /// The buckets that this entry keeps and that were drawn on lately, for copies.
+    pub fn levels(&self, now: Instant) -> Vec<Level> {
+        let drawn = |bucket: &Bucket| now.saturating_duration_since(bucket.drawn_at) < COPIED_FOR;
+        let kept = self.buckets.iter().filter(|(_, bucket)| bucket.kept && drawn(bucket));
+        kept.map(|(customer, bucket)| Level { customer: *customer, units: bucket.level }).collect()
+    }
+
+    /// Takes in copies of another entry's buckets. What this entry keeps itself it knows better.
+    pub fn copy(&mut self, levels: &[Level], now: Instant) {
+        for Level { customer, units } in levels {
+            if self.buckets.get(customer).is_none_or(|bucket| !bucket.kept) {
+                self.buckets.insert(*customer, Bucket::new(*units, now));
+            }
+        }
+    }
+
+    /// Takes over buckets that another entry hands over. Where both have granted, the emptier bucket
+    /// counts.
+    pub fn take_over(&mut self, levels: &[Level], now: Instant) {
+        for Level { customer, units } in levels {
+            let kept = self.buckets.get(customer).filter(|bucket| bucket.kept);
+            let units = kept.map_or(*units, |bucket| bucket.level.min(*units));
+            let bucket = Bucket {
+                kept: true,
+                entrusted_until: Some(now + ENTRUSTED_FOR),
+                ..Bucket::new(units, now)
+            };
+            self.buckets.insert(*customer, bucket);
+        }
+    }
+
+    /// Answers an entry. `share` is the part of all entries that this one hears: the others may draw
+    /// on a keeper of their own.
+    pub fn draw(
+        &mut self,
+        from: PeerId,
+        draw: Draw,
+        terms: Terms,
+        standing: Standing,
+        now: Instant,
+    ) -> Credit {
+        self.forget_old(now);
+        let question = (from, draw.number);
+        if let Some(credit) = self.answered.get(&question) {
+            return *credit;
+        }
+        let credit = self.credit(draw, terms, standing, now);
+        self.answered.insert(question, credit);
+        self.answered_at.push_back((now, question));
+        credit
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) > REMEMBERED;
+        while let Some((_, question)) = self.answered_at.pop_front_if(|(at, _)| is_old(*at)) {
+            self.answered.remove(&question);
+        }
+    }
+
+    fn credit(&mut self, draw: Draw, terms: Terms, standing: Standing, now: Instant) -> Credit {
+        let starts_at = self.keeps_since + TAKEOVER;
+        let known = self.buckets.get(&draw.customer);
+        let entrusted = known.is_some_and(|bucket| bucket.is_entrusted(now));
+        let may_grant = match standing {
+            Standing::Keeper => known.is_some() || now >= starts_at,
+            Standing::StandIn => known.is_some(),
+            Standing::Other => entrusted,
+        };
+        if !may_grant {
+            return Credit::NotHere;
+        }
+        let empty = || Bucket::new(0.0, starts_at);
+        let bucket = self.buckets.entry(draw.customer).or_insert_with(empty);
+        bucket.kept = standing == Standing::Keeper || entrusted;
+        bucket.draw(draw, terms, now)
+    }
+}
+
+/// On which terms a bucket is drawn on.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// What the customer may ask for.
+    pub allowance: Allowance,
+    /// What the operators allow beside it.
+    pub tolerance: Tolerance,
+    /// Part of all entries that the keeper hears.
+    pub share: f64,
+}
+
+impl Bucket {
+    fn new(level: f64, filled_at: Instant) -> Bucket {
+        Bucket { level, filled_at, kept: false, drawn_at: filled_at, entrusted_until: None }
+    }
+
+    fn is_entrusted(&self, now: Instant) -> bool {
+        self.entrusted_until.is_some_and(|until| now < until)
+    }
+
+    fn draw(&mut self, draw: Draw, terms: Terms, now: Instant) -> Credit {
+        let Terms { allowance, tolerance, share } = terms;
+        self.refill(allowance, share, now);
+        self.drawn_at = now;
+        let overdraft = tolerance.slack * OVERDRAFT_SHARE;
+        let needed = draw.needed.min(allowance.burst);
+        if self.level <= 0.0 || self.level + overdraft < needed {
+            let missing = (needed - overdraft).max(0.0) - self.level;
+            let per_second = (allowance.per_second * share).max(1.0);
+            return Credit::Empty(Duration::from_secs_f64(missing.max(0.0) / per_second));
+        }
+        let ahead = if self.level > allowance.burst * AHEAD_SHARE {
+            draw.wanted.min(allowance.burst * MOST_AHEAD)
+        } else {
+            0.0
+        };
+        self.level -= draw.needed + ahead;
+        Credit::Granted(draw.needed + ahead)
+    }
+
+    fn refill(&mut self, allowance: Allowance, share: f64, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        let gained = elapsed * allowance.per_second * REGAINED_SHARE * share;
+        self.level = (self.level + gained).min(allowance.burst);
+        self.filled_at = now;
+    }
+}
--- /dev/null
+++ b/components/gateway/src/allowance/purse.rs
@@ -0,0 +1,151 @@
+//! The credit that an entry has drawn.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::{Credit, CustomerId, Draw};
+use crate::model::Allowance;
+
+/// How long credit is good: what is drawn in one window must not be granted much later.
+const CREDIT_LIFE: Duration = Duration::from_millis(1_000);
+
+/// Span of demand for which credit is drawn ahead.
+const AHEAD: Duration = Duration::from_millis(300);
+
+/// Span over which demand is averaged.
+const DEMAND_SPAN: Duration = Duration::from_millis(1_000);
+
+/// Shortest time for which an empty bucket is not asked again.
+const LEAST_EMPTY: Duration = Duration::from_millis(20);
+
+/// Span of its even share of the allowance that an entry may grant by itself at once while it hears
+/// nothing of the keeper: what a third of the entries grant so, while the keeper still counts them as
+/// heard, stays within what the operators tolerate.
+const SHARE_HELD: Duration = Duration::from_millis(800);
+
+#[derive(Debug)]
+struct Account {
+    credit: f64,
+    credited_at: Instant,
+    /// Units a second that are asked for, decaying.
+    demand: f64,
+    demand_at: Instant,
+    empty_until: Option<Instant>,
+    /// The even share, in units.
+    share: f64,
+    share_at: Instant,
+    /// Questions without an answer.
+    open: u32,
+}
+
+/// Whether a request is within its customer's allowance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Take {
+    /// It is, and is taken out of the credit.
+    Granted,
+    /// The keeper has to be asked.
+    Ask(Draw),
+    /// It is not before this time has passed.
+    Refused(Duration),
+}
+
+/// Credit by customer.
+#[derive(Debug)]
+pub struct Purse {
+    accounts: HashMap<CustomerId, Account>,
+    started_at: Instant,
+    next_number: u32,
+}
+
+impl Purse {
+    /// A purse without credit. Even shares grow from `now` on.
+    pub fn new(now: Instant) -> Purse {
+        Purse { accounts: HashMap::new(), started_at: now, next_number: 0 }
+    }
+
+    fn account(&mut self, customer: CustomerId, now: Instant) -> &mut Account {
+        let started_at = self.started_at;
+        self.accounts.entry(customer).or_insert_with(|| Account {
+            credit: 0.0,
+            credited_at: now,
+            demand: 0.0,
+            demand_at: now,
+            empty_until: None,
+            share: 0.0,
+            share_at: started_at,
+            open: 0,
+        })
+    }
+
+    /// Takes in that a request asks for `cost` units.
+    pub fn note_demand(&mut self, customer: CustomerId, cost: f64, now: Instant) {
+        let account = self.account(customer, now);
+        let elapsed = now.saturating_duration_since(account.demand_at);
+        let kept = (-elapsed.as_secs_f64() / DEMAND_SPAN.as_secs_f64()).exp();
+        account.demand = account.demand * kept + cost / DEMAND_SPAN.as_secs_f64();
+        account.demand_at = now;
+    }
+
+    /// Takes a request's cost out of the credit, if there is enough.
+    pub fn take(&mut self, customer: CustomerId, cost: f64, now: Instant) -> Take {
+        self.next_number = self.next_number.wrapping_add(1);
+        let number = self.next_number;
+        let account = self.account(customer, now);
+        if now.saturating_duration_since(account.credited_at) > CREDIT_LIFE {
+            account.credit = 0.0;
+        }
+        if account.credit >= cost {
+            account.credit -= cost;
+            return Take::Granted;
+        }
+        if let Some(until) = account.empty_until.filter(|until| now < *until) {
+            return Take::Refused(until.saturating_duration_since(now));
+        }
+        let ahead = if account.open == 0 { account.demand * AHEAD.as_secs_f64() } else { 0.0 };
+        account.open += 1;
+        Take::Ask(Draw { customer, number, needed: cost, wanted: ahead })
+    }
+
+    /// Takes in what the keeper said, or that it said nothing.
+    pub fn hear(&mut self, customer: CustomerId, answer: Option<Credit>, now: Instant) {
+        let account = self.account(customer, now);
+        account.open = account.open.saturating_sub(1);
+        match answer {
+            Some(Credit::Granted(units)) => {
+                account.credit += units;
+                account.credited_at = now;
+                account.empty_until = None;
+            }
+            Some(Credit::Empty(wait)) => account.empty_until = Some(now + wait.max(LEAST_EMPTY)),
+            Some(Credit::NotHere) | None => {}
+        }
+    }
+
+    /// Grants a request out of this entry's even share, while its customer's keeper says nothing.
+    pub fn take_share(
+        &mut self,
+        customer: CustomerId,
+        allowance: Allowance,
+        cost: f64,
+        entries: usize,
+        now: Instant,
+    ) -> Take {
+        let per_second = allowance.per_second / entries.max(1) as f64;
+        let held = per_second * SHARE_HELD.as_secs_f64();
+        let account = self.account(customer, now);
+        let elapsed = now.saturating_duration_since(account.share_at).as_secs_f64();
+        account.share_at = now;
+        account.share = (account.share + elapsed * per_second).min(held);
+        if account.share >= cost {
+            account.share -= cost;
+            return Take::Granted;
+        }
+        let missing = cost - account.share;
+        Take::Refused(Duration::from_secs_f64(missing / per_second.max(f64::MIN_POSITIVE)))
+    }
+
+    /// Gives back what a request took that did not run.
+    pub fn give_back(&mut self, customer: CustomerId, cost: f64, now: Instant) {
+        self.account(customer, now).credit += cost;
+    }
+}
--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::allowance::{Credit, Draw, Level};
 use crate::model::{PeerId, ServiceId, UpstreamId};
 use crate::peers::Digest;
 use crate::scheduler::{Job, KindId, Observed, Rank, Refused};
@@ -169,6 +170,31 @@
         /// Its requests that hold a place, and where.
         places: Vec<(Ticket, UpstreamId)>,
     },
+    /// An entry asks a customer's keeper for credit.
+    Draw {
+        /// The entry.
+        from: PeerId,
+        /// What it asks for.
+        draw: Draw,
+    },
+    /// A keeper answers.
+    Credit {
+        /// The keeper.
+        from: PeerId,
+        /// The question.
+        number: u32,
+        /// The answer.
+        credit: Credit,
+    },
+    /// A keeper's buckets.
+    Buckets {
+        /// The keeper.
+        from: PeerId,
+        /// What they hold.
+        levels: Vec<Level>,
+        /// Whether they are handed over; copies for the next in the ranking otherwise.
+        handed_over: bool,
+    },
 }
 
 /// The bytes are no message.
@@ -201,7 +227,10 @@
             Message::Ask { from, .. }
             | Message::Verdict { from, .. }
             | Message::Release { from, .. }
-            | Message::Holdings { from, .. } => *from,
+            | Message::Holdings { from, .. }
+            | Message::Draw { from, .. }
+            | Message::Credit { from, .. }
+            | Message::Buckets { from, .. } => *from,
         }
     }
 }
--- a/components/gateway/src/broker/mod.rs
+++ b/components/gateway/src/broker/mod.rs
@@ -18,7 +18,7 @@
 use crate::model::{PeerId, Places, Upstream, UpstreamId};
 use crate::scheduler::{Ending, Job, Observed, Offer, PlaceId, Scheduler, WaiterId, Woken};
 
-pub use election::rank_brokers;
+pub use election::{Matter, rank_entries};
 pub use message::{AskedJob, Message, MessageError, Ticket, Verdict};
 pub use reach::Reach;
 
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -2,10 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::allowance::Granted;
 use crate::model::PeerId;
 
-/// What an entry knows of the store and has granted. Each digest stands alone, so that a lost one
+/// What an entry knows of the store. Each digest stands alone, so that a lost one
 /// costs nothing but age.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -13,6 +12,8 @@
     pub from: PeerId,
     /// Orders the digests of a process.
     pub sequence: u32,
+    /// Whether the sender leaves to others what one entry does for all.
+    pub leaving: bool,
     /// The configuration in force at the sender.
     pub version: u64,
     /// What the sender knows of the store, as a fingerprint.
@@ -21,6 +22,4 @@
     pub confirmed_ms_ago: Option<u32>,
     /// The newest digests that the sender got from entries of its zone.
     pub echoes: Vec<(PeerId, u32)>,
-    /// What it says of customers' allowances.
-    pub granted: Vec<Granted>,
 }
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -11,9 +11,8 @@
 
 use crate::model::PeerId;
 
-/// Silence after which a member whose entry in the store is gone gets no digests; several digests
-/// long.
-const HEARD_MEMORY: Duration = Duration::from_millis(1_500);
+/// Silence after which a member counts as not heard; two digests to all zones.
+const HEARD_MEMORY: Duration = Duration::from_millis(1_700);
 
 /// How long a member counts after its entry in the store is gone: it may still serve callers until
 /// it notices that the store no longer confirms its configuration.
@@ -47,7 +46,9 @@
     zone: Rc<str>,
     cores: f64,
     left_at: Option<Instant>,
+    known_at: Instant,
     heard_at: Option<Instant>,
+    leaving: bool,
     sequence: u32,
     /// When the store confirmed what it knows, as uptime of this host.
     confirmed_at: Option<Duration>,
@@ -57,8 +58,18 @@
     /// Whether it serves callers. A process whose entry in the store is gone but that is heard does;
     /// it only can't reach the store.
     fn is_here(&self, now: Instant) -> bool {
-        let heard = |at| now.saturating_duration_since(at) < HEARD_MEMORY;
-        self.left_at.is_none() || self.heard_at.is_some_and(heard)
+        self.left_at.is_none() || self.is_heard(now)
+    }
+
+    fn is_heard(&self, now: Instant) -> bool {
+        self.heard_at.is_some_and(|at| now.saturating_duration_since(at) < HEARD_MEMORY)
+    }
+
+    /// Whether it may do something for all: it is heard, or has had no time to be.
+    fn is_candidate(&self, now: Instant) -> bool {
+        let is_new = now.saturating_duration_since(self.known_at) < HEARD_MEMORY;
+        let unheard = self.left_at.is_none() && self.heard_at.is_none() && is_new;
+        !self.leaving && (unheard || self.is_heard(now))
     }
 }
 
@@ -85,7 +96,9 @@
                 zone: member.zone.as_str().into(),
                 cores: member.cores,
                 left_at: None,
+                known_at: now,
                 heard_at: None,
+                leaving: false,
                 sequence: 0,
                 confirmed_at: None,
             });
@@ -96,7 +109,7 @@
     /// Whether a digest is newer than the last one of its sender, and from a member.
     pub fn accept(&mut self, from: PeerId, sequence: u32, now: Instant) -> bool {
         match self.known.get_mut(&from) {
-            Some(known) if known.heard_at.is_none() || known.sequence < sequence => {
+            Some(known) if known.sequence < sequence => {
                 known.sequence = sequence;
                 known.heard_at = Some(now);
                 true
@@ -114,8 +127,7 @@
 
     /// When the store last confirmed what any member knows that is still heard.
     pub fn last_confirmed(&self, now: Instant) -> Option<Duration> {
-        let heard = |at| now.saturating_duration_since(at) < HEARD_MEMORY;
-        let heard = self.known.values().filter(|known| known.heard_at.is_some_and(heard));
+        let heard = self.known.values().filter(|known| known.is_heard(now));
         heard.filter_map(|known| known.confirmed_at).max()
     }
 
@@ -136,7 +148,7 @@
 
     /// Members that may broker, this process left out.
     pub fn candidates(&self, now: Instant) -> Vec<Candidate> {
-        let here = self.known.iter().filter(|(_, known)| known.is_here(now));
+        let here = self.known.iter().filter(|(_, known)| known.is_candidate(now));
         here.map(|(id, known)| Candidate { id: *id, cores: known.cores }).collect()
     }
 
@@ -159,6 +171,33 @@
         wanted.map(|known| known.address).collect()
     }
 
+    /// Whether a member has been heard within some time.
+    pub fn is_heard_within(&self, id: PeerId, span: Duration, now: Instant) -> bool {
+        let heard_at = self.known.get(&id).and_then(|known| known.heard_at);
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < span)
+    }
+
+    /// Takes in whether a member leaves to others what one entry does for all; gives back whether it
+    /// did before.
+    pub fn note_leaving(&mut self, id: PeerId, leaving: bool) -> bool {
+        let known = self.known.get_mut(&id);
+        known.is_some_and(|known| std::mem::replace(&mut known.leaving, leaving))
+    }
+
+    /// Takes in that a member has sent something.
+    pub fn hear(&mut self, id: PeerId, now: Instant) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.heard_at = Some(now);
+        }
+    }
+
+    /// Part of all entries that is heard, this one included.
+    pub fn heard_share(&self, now: Instant) -> f64 {
+        let heard = |at| now.saturating_duration_since(at) < HEARD_MEMORY;
+        let heard = self.known.values().filter(|known| known.heard_at.is_some_and(heard)).count();
+        (heard + 1) as f64 / self.entries() as f64
+    }
+
     /// Entries, this one included.
     pub fn entries(&self) -> usize {
         self.known.len() + 1
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -10,9 +10,10 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::credit::Within;
 use super::head::Incoming;
-use super::state::{Shared, customer_id};
-use crate::allowance::{Grant, cost};
+use super::state::Shared;
+use crate::allowance::{CustomerId, cost};
 use crate::model::{Customer, RequestFacts, Route, ServiceId};
 use crate::routes::pick_target;
 use crate::scheduler::{Job, KindId, Rank};
@@ -111,7 +112,11 @@
 
 impl Shared {
     /// Lets a request in or refuses it.
-    pub(super) fn admit(&self, incoming: Incoming, arrived: Instant) -> Result<Call, Refusal> {
+    pub(super) async fn admit(
+        &self,
+        incoming: Incoming,
+        arrived: Instant,
+    ) -> Result<Call, Refusal> {
         let facts = self.dialect.read_request(&incoming.headers).map_err(|reason| {
             Refusal::not_run(ResultCode::MalformedRequest).with_message(reason)
         })?;
@@ -138,7 +143,7 @@
             .ok_or_else(|| Refusal::not_run(ResultCode::NoUpstream))?
             .to_owned();
         let tokens_per_event = known.tokens_per_event.get(&service).copied().unwrap_or(1);
-        let taken = self.take_allowance(customer.as_deref(), &facts, limit_at)?;
+        let taken = self.admit_customer(customer.as_deref(), &facts, limit_at).await?;
         let tier = customer.as_ref().and_then(|customer| customer.tier).unwrap_or(route.tier);
         let rank = Rank { tier, route_tier: route.tier };
         let Incoming { method, target, headers, body, .. } = incoming;
@@ -176,7 +181,8 @@
         Ok(())
     }
 
-    fn take_allowance(
+    /// Takes a request's cost out of its customer's allowance; gives back what it took.
+    async fn admit_customer(
         &self,
         customer: Option<&Customer>,
         facts: &RequestFacts,
@@ -187,18 +193,19 @@
         else {
             return Ok(0.0);
         };
-        let now = self.clock.now();
         let cost = cost(allowance.unit, facts);
-        let id = customer_id(&customer.name);
-        let tolerance = self.settings.borrow().allowance_tolerance;
-        match self.allowances.borrow_mut().take(id, allowance, cost, tolerance, now) {
-            Grant::Granted => Ok(cost),
-            Grant::Refused { retry_after, level, silent_peers } => {
+        let id = CustomerId::of(&customer.name);
+        match self.take_allowance(id, allowance, cost).await {
+            Within::Yes => Ok(cost),
+            Within::Not { retry_after, by_own_share } => {
                 info!(
-                    "allowance.refused id={} customer={} cost={cost} level={level:.0} per_second={:.0} silent_peers={silent_peers}",
-                    facts.attempt_id, customer.name, allowance.per_second,
+                    "allowance.refused id={} customer={} cost={cost} per_second={:.0} wait_ms={} by_own_share={by_own_share}",
+                    facts.attempt_id,
+                    customer.name,
+                    allowance.per_second,
+                    retry_after.as_millis(),
                 );
-                let left = limit_at.saturating_duration_since(now);
+                let left = limit_at.saturating_duration_since(self.clock.now());
                 let wait = honoured(retry_after, left);
                 Err(self.not_run(ResultCode::LimitReached, wait))
             }
@@ -208,7 +215,8 @@
     /// Gives a customer back what a request took that did not run.
     pub(super) fn give_back(&self, call: &Call) {
         if let Some(customer) = &call.customer {
-            self.allowances.borrow_mut().give_back(customer_id(&customer.name), call.taken);
+            let id = CustomerId::of(&customer.name);
+            self.purse.borrow_mut().give_back(id, call.taken, self.clock.now());
         }
     }
 
--- a/components/gateway/src/shell/callers.rs
+++ b/components/gateway/src/shell/callers.rs
@@ -206,7 +206,7 @@
         }
     };
     let id = shared.dialect.attempt_id(&incoming.headers);
-    let (tier, served) = match shared.admit(incoming, arrived) {
+    let (tier, served) = match shared.admit(incoming, arrived).await {
         Ok(call) => (Some(call.rank.route_tier), exchange::serve(&shared, call).await),
         Err(refusal) => (None, Err(refusal)),
     };
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answer;
 mod callers;
+mod credit;
 mod exchange;
 mod hand_over;
 mod head;
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -6,29 +6,25 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use log::{debug, warn};
+use log::{debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
 
 use super::hand_over::SharedRef;
 use super::state::Shared;
-use crate::allowance::SMALL_GROUP;
 use crate::broker::Message;
 use crate::model::PeerId;
 use crate::peers::Digest;
 use crate::reading::HeardReading;
 
-/// Between digests in a small group: an entry grants some ten requests meanwhile.
-const SMALL_GROUP_PERIOD: Duration = Duration::from_millis(100);
+/// Between digests: an entry that reads the store spares its zone's others a reading.
+const DIGEST_PERIOD: Duration = Duration::from_millis(200);
 
-/// Between digests in a larger group.
-const LARGE_GROUP_PERIOD: Duration = Duration::from_millis(200);
+/// Every so many digests one goes to all availability zones: bytes between zones are paid for, and
+/// there it shows only that the sender is alive and how late it reads the store.
+const ROUNDS_TO_ALL_ZONES: u32 = 4;
 
-/// In a larger group, every so many digests one goes to all availability zones: bytes between zones
-/// are paid for, and what they carry may be older.
-const ROUNDS_TO_ALL_ZONES: u32 = 2;
-
-/// Between lists of the places that an entry holds. They show a broker what it missed: a release
+/// Between lists of the places that an entry holds, and copies of the buckets that it keeps. Lists show a broker what it missed: a release
 /// that was lost, or places that another broker gave.
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(250);
 
@@ -45,17 +41,16 @@
 /// Exchanges messages until the process ends.
 pub(super) async fn run(shared: SharedRef) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
-    let mut sequence = 0;
     let (mut digest_at, mut holdings_at) = (Instant::now(), Instant::now());
     loop {
         tokio::select! {
             () = sleep_until(digest_at) => {
-                sequence += 1;
-                shared.send_digest(sequence);
-                digest_at = Instant::now() + shared.digest_period();
+                shared.send_digest();
+                digest_at = Instant::now() + DIGEST_PERIOD;
             }
             () = sleep_until(holdings_at) => {
                 shared.tell_holdings();
+                shared.copy_buckets();
                 holdings_at = Instant::now() + HOLDINGS_PERIOD;
             }
             ready = shared.socket.readable() => match ready {
@@ -103,28 +98,34 @@
             Message::Ask { .. } | Message::Release { .. } | Message::Holdings { .. } => {
                 self.serve_entry(zone, message);
             }
+            Message::Draw { from, draw } => self.serve_draw(from, draw),
+            Message::Credit { number, credit, .. } => self.hear_credit(number, credit),
+            Message::Buckets { levels, handed_over, .. } => {
+                self.hear_buckets(&levels, handed_over);
+            }
         }
     }
 
-    fn send_digest(&self, sequence: u32) {
+    fn send_digest(&self) {
+        let sequence = self.digests_sent.get() + 1;
+        self.digests_sent.set(sequence);
         let addresses = self.digest_addresses(sequence);
         if !addresses.is_empty() {
             self.send_datagrams(&Message::Digest(self.digest(sequence)), &addresses);
         }
     }
 
-    fn is_small_group(&self) -> bool {
-        self.peers.borrow().entries() <= SMALL_GROUP
-    }
-
-    fn digest_period(&self) -> Duration {
-        if self.is_small_group() { SMALL_GROUP_PERIOD } else { LARGE_GROUP_PERIOD }
+    /// Tells all entries at once that this one does less, or more, for them.
+    pub(super) fn announce_leaving(&self) {
+        let sequence = self.digests_sent.get() + 1;
+        self.digests_sent.set(sequence);
+        let addresses = self.peers.borrow().addresses(None, self.clock.now());
+        self.send_datagrams(&Message::Digest(self.digest(sequence)), &addresses);
     }
 
     fn digest_addresses(&self, sequence: u32) -> Vec<SocketAddr> {
-        let to_all = self.is_small_group()
-            || sequence.is_multiple_of(ROUNDS_TO_ALL_ZONES)
-            || self.allowances.borrow().is_short();
+        // The first one makes this process known everywhere.
+        let to_all = sequence == 1 || sequence.is_multiple_of(ROUNDS_TO_ALL_ZONES);
         let settings = self.settings.borrow();
         let zone = (!to_all).then_some(settings.places.own_zone.as_str());
         self.peers.borrow().addresses(zone, self.clock.now())
@@ -140,8 +141,8 @@
             echoes: self.peers.borrow().heard_in(&self.settings.borrow().places.own_zone),
             from: self.process_id,
             sequence,
+            leaving: self.is_leaving(),
             version: self.configuration().map_or(0, |known| known.version),
-            granted: self.allowances.borrow().granted().collect(),
         }
     }
 
@@ -176,10 +177,12 @@
                 return;
             }
         };
-        let Some((_, zone)) = self.peers.borrow().locate(message.from()) else {
+        let from = message.from();
+        let Some((_, zone)) = self.peers.borrow().locate(from) else {
             self.readings.borrow_mut().note_stranger();
             return;
         };
+        self.peers.borrow_mut().hear(from, self.clock.now());
         self.dispatch(message, zone);
     }
 
@@ -188,12 +191,16 @@
         if !self.peers.borrow_mut().accept(digest.from, digest.sequence, now) {
             return;
         }
+        let before = self.peers.borrow_mut().note_leaving(digest.from, digest.leaving);
+        if before != digest.leaving {
+            info!("member.leaving member={} leaving={}", digest.from, digest.leaving);
+            self.note_candidates();
+        }
         if let Some(age_ms) = digest.confirmed_ms_ago {
             let age = Duration::from_millis(age_ms.into());
             let confirmed_at = self.clock.uptime().saturating_sub(age);
             self.peers.borrow_mut().note_confirmed(digest.from, confirmed_at);
         }
         self.hear_reading(digest);
-        self.allowances.borrow_mut().hear_peer(digest.from, &digest.granted, now);
     }
 }
--- a/components/gateway/src/shell/places.rs
+++ b/components/gateway/src/shell/places.rs
@@ -1,5 +1,6 @@
 //! Gets places from brokers.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use errors::ResultCode;
@@ -10,7 +11,7 @@
 use super::hand_over::SharedRef;
 use super::seat::Seat;
 use super::state::Shared;
-use crate::broker::{AskedJob, Message, Reply, Ticket, Verdict, rank_brokers};
+use crate::broker::{AskedJob, Matter, Message, Reply, Ticket, Verdict, rank_entries};
 use crate::model::{PeerId, ServiceId, UpstreamId};
 use crate::peers::Candidate;
 use crate::scheduler::{Ending, Job, Observed, Refused, RefusedBecause};
@@ -139,23 +140,41 @@
     }
 
     /// All entries, the service's broker first.
-    pub(super) fn ranked_brokers(&self, service: ServiceId) -> std::rc::Rc<[PeerId]> {
-        let mut brokers = self.brokers.borrow_mut();
+    pub(super) fn ranked_brokers(&self, service: ServiceId) -> Rc<[PeerId]> {
+        self.ranked_entries(Matter::Service(service))
+    }
+
+    /// All entries, the one that does something for all first.
+    pub(super) fn ranked_entries(&self, matter: Matter) -> Rc<[PeerId]> {
+        let mut ranked = self.ranked.borrow_mut();
         let rank = || {
             let mut candidates = self.peers.borrow().candidates(self.clock.now());
-            let leaving = self.is_stopping() || self.is_behind();
-            if !leaving || candidates.is_empty() {
+            if !self.is_leaving() || candidates.is_empty() {
                 let cores = self.settings.borrow().cores;
                 candidates.push(Candidate { id: self.process_id, cores });
             }
-            rank_brokers(service, &candidates).into()
+            rank_entries(matter, &candidates).into()
         };
-        brokers.entry(service).or_insert_with(rank).clone()
+        ranked.entry(matter).or_insert_with(rank).clone()
     }
 
-    /// Has brokers worked out again: members may have come or gone.
-    pub(super) fn forget_brokers(&self) {
-        self.brokers.borrow_mut().clear();
+    /// Has it worked out again who does what, where members came or went.
+    pub(super) fn note_candidates(&self) {
+        let now = self.clock.now();
+        let mut ids: Vec<PeerId> =
+            self.peers.borrow().candidates(now).iter().map(|candidate| candidate.id).collect();
+        if !self.is_leaving() {
+            ids.push(self.process_id);
+        }
+        ids.sort_unstable();
+        if *self.candidate_ids.borrow() == ids {
+            return;
+        }
+        self.candidate_ids.replace(ids);
+        self.ranked.borrow_mut().clear();
+        let handed_over =
+            self.keeper.borrow_mut().change_members(|customer| self.standing(customer), now);
+        self.send_buckets(handed_over, true);
     }
 
     fn pass_over(&self, broker: PeerId, why: &str, now: Instant) {
@@ -177,12 +196,7 @@
     }
 
     /// Takes the place that a broker gave; `None` where this entry knows better.
-    fn seat(
-        self: &std::rc::Rc<Self>,
-        broker: PeerId,
-        ticket: Ticket,
-        upstream: UpstreamId,
-    ) -> Option<Seat> {
+    fn seat(self: &Rc<Self>, broker: PeerId, ticket: Ticket, upstream: UpstreamId) -> Option<Seat> {
         let known = self.upstreams.borrow().get(&upstream).cloned();
         let Some(usable) = known.filter(|upstream| !upstream.draining) else {
             info!("place.unusable broker={broker} upstream={}", upstream.0);
@@ -192,7 +206,7 @@
         Some(Seat::new(self.clone(), broker, ticket, usable))
     }
 
-    fn begin_question(self: &std::rc::Rc<Self>, broker: PeerId) -> Question {
+    fn begin_question(self: &Rc<Self>, broker: PeerId) -> Question {
         let ticket = self.next_ticket.get().wrapping_add(1);
         self.next_ticket.set(ticket);
         let (sender, verdicts) = unbounded_channel();
@@ -260,12 +274,11 @@
     }
 
     /// Takes in a message to this entry as a broker.
-    pub(super) fn serve_entry(&self, zone: std::rc::Rc<str>, message: Message) {
+    pub(super) fn serve_entry(&self, zone: Rc<str>, message: Message) {
         let now = self.clock.now();
         let replies = match message {
             Message::Ask { from, ticket, job } => {
-                let leaving = self.is_stopping() || self.is_behind();
-                let verdict = if leaving && from != self.process_id {
+                let verdict = if self.is_leaving() && from != self.process_id {
                     Verdict::NotHere
                 } else {
                     self.broker.borrow_mut().ask(from, zone, ticket, &job, now)
@@ -276,7 +289,7 @@
                 self.broker.borrow_mut().release(from, ticket, observed, now)
             }
             Message::Holdings { from, places } => self.broker.borrow_mut().hold(from, &places, now),
-            Message::Digest(_) | Message::Verdict { .. } => Vec::new(),
+            _ => Vec::new(),
         };
         self.send_replies(replies);
     }
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -11,21 +11,22 @@
 use link::{Pool, Timeouts};
 use log::{info, warn};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use xxhash_rust::xxh3::xxh3_64;
+use tokio::sync::{Notify, oneshot};
 
 use super::metrics::Metrics;
 use super::{Directory, Gateway};
 use crate::Settings;
-use crate::allowance::Allowances;
-use crate::broker::{Broker, Reach, Ticket, Verdict};
+use crate::allowance::{Credit, CustomerId, Keeper, Purse};
+use crate::broker::{Broker, Matter, Reach, Ticket, Verdict};
 use crate::budget::RetryBudget;
 use crate::contact::Contacts;
 use crate::customers::KeyRing;
 use crate::dialect::Dialect;
 use crate::freshness::Freshness;
-use crate::model::{CallerLimits, Configuration, PeerId, ServiceId, Upstream, UpstreamId};
+use crate::model::{
+    Allowance, CallerLimits, Configuration, Customer, PeerId, ServiceId, Upstream, UpstreamId,
+};
 use crate::peers::{Member, Peers};
 use crate::reading::Readings;
 use crate::roster::{Roster, RosterChange};
@@ -52,6 +53,7 @@
     pub(super) routes: RouteTable,
     /// Output tokens in each event of a stream, by service.
     pub(super) tokens_per_event: HashMap<String, u32>,
+    pub(super) allowances: HashMap<CustomerId, Allowance>,
     pub(super) keys: KeyRing,
     pub(super) asks_for_keys: bool,
     pub(super) limits: CallerLimits,
@@ -72,18 +74,27 @@
     pub(super) socket: UdpSocket,
     /// This entry as a broker.
     pub(super) broker: RefCell<Broker>,
-    /// Entries by service, the broker first; worked out again when members change.
-    pub(super) brokers: RefCell<HashMap<ServiceId, Rc<[PeerId]>>>,
+    /// Entries by what one does for all, that one first; worked out again when members change.
+    pub(super) ranked: RefCell<HashMap<Matter, Rc<[PeerId]>>>,
+    /// Entries that may do something for all, sorted.
+    pub(super) candidate_ids: RefCell<Vec<PeerId>>,
     pub(super) reach: RefCell<Reach>,
     /// Requests that ask a broker for a place.
     pub(super) questions: RefCell<HashMap<Ticket, UnboundedSender<Verdict>>>,
     pub(super) next_ticket: Cell<Ticket>,
+    pub(super) digests_sent: Cell<u32>,
+    was_leaving: Cell<bool>,
     /// Places that this entry holds.
     pub(super) holdings: RefCell<HashMap<Ticket, UpstreamId>>,
     pub(super) contacts: RefCell<Contacts>,
     /// Upstreams that may be used, draining ones included.
     pub(super) upstreams: RefCell<HashMap<UpstreamId, Upstream>>,
-    pub(super) allowances: RefCell<Allowances>,
+    /// Customers' buckets that this entry keeps.
+    pub(super) keeper: RefCell<Keeper>,
+    /// Credit that this entry has drawn.
+    pub(super) purse: RefCell<Purse>,
+    /// Requests that wait for credit, by the number of their question.
+    pub(super) draws: RefCell<HashMap<u32, oneshot::Sender<Credit>>>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) peers: RefCell<Peers>,
     pub(super) callers_close: Notify,
@@ -97,11 +108,6 @@
     was_ready: Cell<bool>,
 }
 
-/// Names a customer between entries, in four bytes.
-pub(super) fn customer_id(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
-}
-
 impl Shared {
     pub(super) fn new(gateway: Gateway, socket: UdpSocket) -> Result<Shared> {
         let Gateway { settings, process_id, dialect, clock } = gateway;
@@ -110,10 +116,13 @@
             own_zone: settings.places.own_zone.as_str().into(),
             socket,
             broker: RefCell::new(Broker::new(settings.places.clone())),
-            brokers: RefCell::default(),
+            ranked: RefCell::default(),
+            candidate_ids: RefCell::default(),
             reach: RefCell::default(),
             questions: RefCell::default(),
             next_ticket: Cell::new(0),
+            digests_sent: Cell::new(0),
+            was_leaving: Cell::new(false),
             holdings: RefCell::default(),
             contacts: RefCell::default(),
             upstreams: RefCell::default(),
@@ -126,7 +135,9 @@
             pool: Pool::default(),
             in_force: RefCell::default(),
             freshness: Cell::default(),
-            allowances: RefCell::default(),
+            keeper: RefCell::new(Keeper::new(now)),
+            purse: RefCell::new(Purse::new(now)),
+            draws: RefCell::default(),
             peers: RefCell::default(),
             callers_close: Notify::new(),
             callers_closing: Cell::new(false),
@@ -202,12 +213,26 @@
 
     pub(super) fn begin_stop(&self) -> Duration {
         self.stopping_since.set(Some(self.clock.now()));
-        self.forget_brokers();
+        self.note_leaving();
         let open = self.open_requests.get();
         info!("stop.begin open_requests={open}");
         self.settings.borrow().grace_period
     }
 
+    /// Whether others do better what one entry does for all.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_stopping() || self.is_behind()
+    }
+
+    /// Tells the others when this entry begins or ceases to leave work for all to them.
+    fn note_leaving(&self) {
+        let leaving = self.is_leaving();
+        if self.was_leaving.replace(leaving) != leaving {
+            self.announce_leaving();
+            self.note_candidates();
+        }
+    }
+
     pub(super) fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
     }
@@ -230,10 +255,10 @@
             let mut peers = self.peers.borrow_mut();
             peers.settle(now);
             self.reach.borrow_mut().keep(|id| peers.is_member(id));
-            self.allowances.borrow_mut().keep_peers(|id| peers.is_member(id));
         }
         self.pool.sweep(now);
-        self.forget_brokers();
+        self.note_leaving();
+        self.note_candidates();
         let replies = self.broker.borrow_mut().settle(now);
         self.send_replies(replies);
         self.is_ready();
@@ -253,6 +278,12 @@
         );
     }
 
+    /// Whether a member is this process, or the one that was at its address before.
+    fn is_own(&self, member: &Member) -> bool {
+        let own = self.socket.local_addr().ok();
+        member.id == self.process_id || Some(member.address) == own
+    }
+
     fn is_broker(&self, service: ServiceId) -> bool {
         self.ranked_brokers(service).first() == Some(&self.process_id)
     }
@@ -298,12 +329,15 @@
         let routes = RouteTable::new(&configuration.routes);
         let (version, route_count) = (configuration.version, routes.len());
         let engines = configuration.engines.into_iter();
+        let allowance_of =
+            |customer: &Customer| Some((CustomerId::of(&customer.name), customer.allowance?));
         let in_force = InForce {
             version,
             routes,
             tokens_per_event: engines
                 .map(|engine| (engine.service, engine.tokens_per_event))
                 .collect(),
+            allowances: configuration.customers.iter().filter_map(allowance_of).collect(),
             keys: KeyRing::new(&configuration.customers),
             asks_for_keys: !configuration.customers.is_empty(),
             limits: configuration.caller_limits,
@@ -346,15 +380,12 @@
         let now = self.clock.now();
         self.members_fingerprint.set(members.iter().fold(0, |sum, member| sum ^ member.id));
         let others: Vec<Member> =
-            members.into_iter().filter(|member| member.id != self.process_id).collect();
+            members.into_iter().filter(|member| !self.is_own(member)).collect();
         let mut peers = self.peers.borrow_mut();
         peers.set_members(&others, now);
-        for member in &others {
-            self.allowances.borrow_mut().expect_peer(member.id, now);
-        }
         info!("members.changed others={} counted={}", others.len(), peers.entries());
         drop(peers);
-        self.forget_brokers();
+        self.note_candidates();
     }
 
     fn lose_store(&self, reason: &str) {
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bolero::TypeGenerator;
-use gateway::broker::{AskedJob, Broker, Message, Reach, Reply, Ticket, Verdict, rank_brokers};
+use gateway::allowance::{Credit, CustomerId, Draw};
+use gateway::broker::{
+    AskedJob, Broker, Matter, Message, Reach, Reply, Ticket, Verdict, rank_entries,
+};
 use gateway::model::{Places, ServiceId, Upstream, UpstreamId};
 use gateway::peers::Candidate;
 use gateway::scheduler::{Ending, KindId, Observed, Rank};
@@ -178,6 +181,11 @@
         Message::Verdict { from: ONE, ticket: 3, verdict },
         Message::Release { from: TWO, ticket: 4, observed: SERVED },
         Message::Holdings { from: TWO, places: vec![(4, UpstreamId(9))] },
+        Message::Draw {
+            from: ONE,
+            draw: Draw { customer: CustomerId::of("c"), number: 1, needed: 5.5, wanted: 0.0 },
+        },
+        Message::Credit { from: TWO, number: 1, credit: Credit::Empty(Duration::from_millis(3)) },
     ];
     for message in messages {
         let bytes = message.encode().expect("encodes");
@@ -323,15 +331,15 @@
     let mut reversed = all.clone();
     reversed.reverse();
     for number in 0..50 {
-        let service = ServiceId::of(&format!("s{number}"));
-        let ranked = rank_brokers(service, &all);
-        assert_eq!(ranked, rank_brokers(service, &reversed));
+        let service = Matter::Service(ServiceId::of(&format!("s{number}")));
+        let ranked = rank_entries(service, &all);
+        assert_eq!(ranked, rank_entries(service, &reversed));
         let without: Vec<Candidate> =
             all.iter().filter(|candidate| candidate.id != ranked[7]).copied().collect();
-        assert_eq!(rank_brokers(service, &without)[0], ranked[0]);
+        assert_eq!(rank_entries(service, &without)[0], ranked[0]);
         let left: Vec<Candidate> =
             all.iter().filter(|candidate| candidate.id != ranked[0]).copied().collect();
-        assert_eq!(rank_brokers(service, &left)[0], ranked[1], "the next one stands in");
+        assert_eq!(rank_entries(service, &left)[0], ranked[1], "the next one stands in");
     }
 }
 
@@ -341,7 +349,7 @@
     cores.extend([0.09; 15]);
     let all = candidates(&cores);
     let brokers: BTreeSet<u64> = (0..200)
-        .map(|number| rank_brokers(ServiceId::of(&format!("s{number}")), &all)[0])
+        .map(|number| rank_entries(Matter::Service(ServiceId::of(&format!("s{number}"))), &all)[0])
         .collect();
     assert_eq!(brokers, (1..=12).collect(), "each large host brokers some service");
 }
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::allowance::Granted;
 use gateway::broker::Message;
 use gateway::peers::{Digest, Member, Peers};
 
@@ -56,11 +55,11 @@
     let digest = Digest {
         from: u64::MAX,
         sequence: 9,
+        leaving: true,
         version: 41,
         fingerprint: 3,
         confirmed_ms_ago: Some(120),
         echoes: vec![(1, 2)],
-        granted: vec![Granted { customer: 1, total: 10.5, level: -3.0 }],
     };
     let message = Message::Digest(digest);
     let bytes = message.encode().expect("encodes");
@@ -80,3 +79,36 @@
     assert_eq!(peers.last_confirmed(now), Some(Duration::from_secs(9)), "the other was not heard");
     assert_eq!(peers.last_confirmed(now + Duration::from_secs(2)), None);
 }
+
+#[test]
+fn the_share_that_is_heard_counts_this_entry_and_drops_with_silence() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    assert_eq!(peers.heard_share(now), 1.0);
+    peers.set_members(&[member(1, 7000), member(2, 7001), member(3, 7002)], now);
+    assert_eq!(peers.heard_share(now), 0.25);
+    peers.accept(1, 1, now);
+    assert_eq!(peers.heard_share(now), 0.5);
+    assert_eq!(peers.heard_share(now + Duration::from_secs(2)), 0.25);
+}
+
+#[test]
+fn what_is_silent_or_leaving_does_nothing_for_all() {
+    let start = Instant::now();
+    let mut peers = Peers::default();
+    peers.set_members(&[member(1, 7000), member(2, 7001), member(3, 7002)], start);
+    let ids = |peers: &Peers, now| {
+        let mut ids: Vec<u64> = peers.candidates(now).iter().map(|entry| entry.id).collect();
+        ids.sort_unstable();
+        ids
+    };
+    assert_eq!(ids(&peers, start), [1, 2, 3], "new ones have had no time to be heard");
+    let now = start + Duration::from_secs(2);
+    peers.accept(1, 1, now);
+    peers.accept(2, 1, now);
+    assert_eq!(ids(&peers, now), [1, 2]);
+    assert!(!peers.note_leaving(2, true));
+    assert_eq!(ids(&peers, now), [1]);
+    assert!(peers.note_leaving(2, false));
+    assert_eq!(ids(&peers, now + Duration::from_secs(2)), [0_u64; 0], "nobody is heard");
+}
