Grant beside a customer's keeper only what is repaid or known to be free

Each grant logged in a trial: after 27 of 30 entries had been killed, 15 of them took the keeper for silent for 3 s, since each request that was waiting for it counted as one more silence, and granted their even shares while the keeper granted everything. In the cut that followed, the stand-in began with what its copy would have gained in the silence (0.93 s of the rate in half a second), and both sides granted the whole rate for another second. Ruled out: the clock, credit kept for longer than a second, a keeper that knows fewer entries (all counted 30). Change: questions asked before an entry became suspect tell nothing new; draws tell what their entry granted of its own share, and the keeper takes it off; a stand-in starts at the copy's level and grants half the pace; a bucket that another entry has kept meanwhile is forgotten; entries count for a keeper's share for 1 s of silence instead of 1.7 s. Each mechanism off turns a test red: reach, owed, half pace, forgotten bucket, counted memory.

--- a/components/gateway/src/allowance/keeper.rs
+++ b/components/gateway/src/allowance/keeper.rs
@@ -18,6 +18,14 @@
 /// would never be granted in a shortage otherwise.
 const OVERDRAFT_SHARE: f64 = 0.25;
 
+/// Part of the allowance that an entry grants while it stands in: the keeper may be cut off, and grant
+/// as well until it notices.
+const STAND_IN_SHARE: f64 = 0.5;
+
+/// How long a copy is good: longer than the silence after which a keeper is taken as gone, much
+/// shorter than the operators' window.
+const COPY_LIFE: Duration = Duration::from_secs(2);
+
 /// Part of a full bucket above which entries get credit for requests that are still to come.
 const AHEAD_SHARE: f64 = 0.5;
 
@@ -51,6 +59,8 @@
     filled_at: Instant,
     /// Whether this entry was its keeper when it was last looked at.
     kept: bool,
+    /// Since when this entry grants of it; a copy has not begun.
+    began_at: Option<Instant>,
     drawn_at: Instant,
     /// Until when this entry keeps it although others may rank the one before first.
     entrusted_until: Option<Instant>,
@@ -89,13 +99,19 @@
     ) -> Vec<Level> {
         self.keeps_since = now;
         let mut handed_over = Vec::new();
-        for (customer, bucket) in &mut self.buckets {
+        self.buckets.retain(|customer, bucket| {
             let keeps = standing(*customer) == Standing::Keeper || bucket.is_entrusted(now);
             if bucket.kept && !keeps {
                 handed_over.push(Level { customer: *customer, units: bucket.level });
+                return false;
             }
-            bucket.kept = keeps;
-        }
+            let good = bucket.is_good(now);
+            if keeps && good {
+                bucket.begin(now);
+                bucket.kept = true;
+            }
+            good
+        });
         handed_over
     }
 
@@ -123,6 +139,7 @@
             let units = kept.map_or(*units, |bucket| bucket.level.min(*units));
             let bucket = Bucket {
                 kept: true,
+                began_at: Some(now),
                 entrusted_until: Some(now + ENTRUSTED_FOR),
                 ..Bucket::new(units, now)
             };
@@ -130,8 +147,7 @@
         }
     }
 
-    /// Answers an entry. `share` is the part of all entries that this one hears: the others may draw
-    /// on a keeper of their own.
+    /// Answers an entry.
     pub fn draw(
         &mut self,
         from: PeerId,
@@ -160,7 +176,7 @@
 
     fn credit(&mut self, draw: Draw, terms: Terms, standing: Standing, now: Instant) -> Credit {
         let starts_at = self.keeps_since + TAKEOVER;
-        let known = self.buckets.get(&draw.customer);
+        let known = self.buckets.get(&draw.customer).filter(|bucket| bucket.is_good(now));
         let entrusted = known.is_some_and(|bucket| bucket.is_entrusted(now));
         let may_grant = match standing {
             Standing::Keeper => known.is_some() || now >= starts_at,
@@ -170,10 +186,15 @@
         if !may_grant {
             return Credit::NotHere;
         }
-        let empty = || Bucket::new(0.0, starts_at);
-        let bucket = self.buckets.entry(draw.customer).or_insert_with(empty);
+        if known.is_none() {
+            let empty = Bucket { began_at: Some(starts_at), ..Bucket::new(0.0, starts_at) };
+            self.buckets.insert(draw.customer, empty);
+        }
+        let Some(bucket) = self.buckets.get_mut(&draw.customer) else { return Credit::NotHere };
+        bucket.begin(now);
         bucket.kept = standing == Standing::Keeper || entrusted;
-        bucket.draw(draw, terms, now)
+        let share = if bucket.kept { terms.share } else { terms.share * STAND_IN_SHARE };
+        bucket.draw(draw, Terms { share, ..terms }, now)
     }
 }
 
@@ -184,13 +205,35 @@
     pub allowance: Allowance,
     /// What the operators allow beside it.
     pub tolerance: Tolerance,
-    /// Part of all entries that the keeper hears.
+    /// Part of all entries that the keeper hears: the others may draw on a keeper of their own.
     pub share: f64,
+    /// Entries of the deployment.
+    pub entries: usize,
 }
 
 impl Bucket {
     fn new(level: f64, filled_at: Instant) -> Bucket {
-        Bucket { level, filled_at, kept: false, drawn_at: filled_at, entrusted_until: None }
+        Bucket {
+            level,
+            filled_at,
+            kept: false,
+            began_at: None,
+            drawn_at: filled_at,
+            entrusted_until: None,
+        }
+    }
+
+    /// Whether its level is known: a copy that is old is not.
+    fn is_good(&self, now: Instant) -> bool {
+        self.kept || now.saturating_duration_since(self.filled_at) < COPY_LIFE
+    }
+
+    /// Begins to grant of a copy. What it would have gained since it was made others have granted.
+    fn begin(&mut self, now: Instant) {
+        if self.began_at.is_none() {
+            self.began_at = Some(now);
+            self.filled_at = now;
+        }
     }
 
     fn is_entrusted(&self, now: Instant) -> bool {
@@ -198,8 +241,11 @@
     }
 
     fn draw(&mut self, draw: Draw, terms: Terms, now: Instant) -> Credit {
-        let Terms { allowance, tolerance, share } = terms;
+        let Terms { allowance, tolerance, share, entries } = terms;
         self.refill(allowance, share, now);
+        let granted_for = now.saturating_duration_since(self.began_at.unwrap_or(now));
+        let even_share = allowance.per_second / entries.max(1) as f64;
+        self.level -= draw.owed.min(even_share * granted_for.as_secs_f64());
         self.drawn_at = now;
         let overdraft = tolerance.slack * OVERDRAFT_SHARE;
         let needed = draw.needed.min(allowance.burst);
--- a/components/gateway/src/allowance/mod.rs
+++ b/components/gateway/src/allowance/mod.rs
@@ -4,7 +4,8 @@
 //! the list of members. Entries draw credit from the keeper as their callers ask; credit that is out
 //! has left the bucket, so whatever is lost or late, the bucket is never granted twice. The entry
 //! that is next in the ranking has a copy and stands in for a keeper that fell silent; a keeper that
-//! others outrank hands its buckets over.
+//! others outrank hands its buckets over. An entry that hears of neither grants its even share, and
+//! tells the keeper of it later.
 
 mod keeper;
 mod purse;
@@ -45,6 +46,8 @@
     pub needed: f64,
     /// Units that further requests may need soon.
     pub wanted: f64,
+    /// Units that the entry has lately granted of its even share, while it heard nothing of the keeper.
+    pub owed: f64,
 }
 
 /// What a keeper says to that.
--- a/components/gateway/src/allowance/purse.rs
+++ b/components/gateway/src/allowance/purse.rs
@@ -23,6 +23,10 @@
 /// heard, stays within what the operators tolerate.
 const SHARE_HELD: Duration = Duration::from_millis(800);
 
+/// Span of its even share that an entry that is back in touch owes at most: for longer the keeper has
+/// not counted it as heard.
+const SHARE_OWED: Duration = Duration::from_millis(2_000);
+
 #[derive(Debug)]
 struct Account {
     credit: f64,
@@ -34,6 +38,8 @@
     /// The even share, in units.
     share: f64,
     share_at: Instant,
+    /// Units granted of the even share that the keeper has not been told of.
+    owed: f64,
     /// Questions without an answer.
     open: u32,
 }
@@ -73,6 +79,7 @@
             empty_until: None,
             share: 0.0,
             share_at: started_at,
+            owed: 0.0,
             open: 0,
         })
     }
@@ -103,12 +110,13 @@
         }
         let ahead = if account.open == 0 { account.demand * AHEAD.as_secs_f64() } else { 0.0 };
         account.open += 1;
-        Take::Ask(Draw { customer, number, needed: cost, wanted: ahead })
+        let owed = std::mem::take(&mut account.owed);
+        Take::Ask(Draw { customer, number, needed: cost, wanted: ahead, owed })
     }
 
-    /// Takes in what the keeper said, or that it said nothing.
-    pub fn hear(&mut self, customer: CustomerId, answer: Option<Credit>, now: Instant) {
-        let account = self.account(customer, now);
+    /// Takes in what the keeper said to a question, or that it said nothing.
+    pub fn hear(&mut self, draw: &Draw, answer: Option<Credit>, now: Instant) {
+        let account = self.account(draw.customer, now);
         account.open = account.open.saturating_sub(1);
         match answer {
             Some(Credit::Granted(units)) => {
@@ -117,7 +125,7 @@
                 account.empty_until = None;
             }
             Some(Credit::Empty(wait)) => account.empty_until = Some(now + wait.max(LEAST_EMPTY)),
-            Some(Credit::NotHere) | None => {}
+            Some(Credit::NotHere) | None => account.owed += draw.owed,
         }
     }
 
@@ -138,6 +146,7 @@
         account.share = (account.share + elapsed * per_second).min(held);
         if account.share >= cost {
             account.share -= cost;
+            account.owed = (account.owed + cost).min(per_second * SHARE_OWED.as_secs_f64());
             return Take::Granted;
         }
         let missing = cost - account.share;
--- a/components/gateway/src/broker/reach.rs
+++ b/components/gateway/src/broker/reach.rs
@@ -24,8 +24,12 @@
 }
 
 impl Reach {
-    /// Takes in that a broker did not answer.
+    /// Takes in that a broker did not answer. What was asked before it became suspect tells nothing
+    /// new.
     pub fn note_silence(&mut self, broker: PeerId, now: Instant) {
+        if !self.is_trusted(broker, now) {
+            return;
+        }
         let suspect = self.suspects.entry(broker).or_insert(Suspect { until: now, failures: 0 });
         let pause = SUSPECTED_FOR * 2_u32.pow(suspect.failures.min(2));
         suspect.failures += 1;
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -14,6 +14,10 @@
 /// Silence after which a member counts as not heard; two digests to all zones.
 const HEARD_MEMORY: Duration = Duration::from_millis(1_700);
 
+/// Silence after which a member does not count for the part of an allowance that is granted here; a
+/// digest to all zones, with time to arrive.
+const COUNTED_MEMORY: Duration = Duration::from_millis(1_000);
+
 /// How long a member counts after its entry in the store is gone: it may still serve callers until
 /// it notices that the store no longer confirms its configuration.
 const LEAVING_MEMORY: Duration = Duration::from_secs(6);
@@ -191,9 +195,9 @@
         }
     }
 
-    /// Part of all entries that is heard, this one included.
+    /// Part of all entries that was heard lately, this one included.
     pub fn heard_share(&self, now: Instant) -> f64 {
-        let heard = |at| now.saturating_duration_since(at) < HEARD_MEMORY;
+        let heard = |at| now.saturating_duration_since(at) < COUNTED_MEMORY;
         let heard = self.known.values().filter(|known| known.heard_at.is_some_and(heard)).count();
         (heard + 1) as f64 / self.entries() as f64
     }
--- a/components/gateway/src/shell/credit.rs
+++ b/components/gateway/src/shell/credit.rs
@@ -50,7 +50,7 @@
         self.shared.draws.borrow_mut().remove(&self.draw.number);
         if !self.settled {
             let now = self.shared.clock.now();
-            self.shared.purse.borrow_mut().hear(self.draw.customer, None, now);
+            self.shared.purse.borrow_mut().hear(&self.draw, None, now);
         }
     }
 }
@@ -69,7 +69,7 @@
         if let Take::Ask(draw) = take {
             let answer = self.draw(draw).await;
             let now = self.clock.now();
-            self.purse.borrow_mut().hear(customer, answer, now);
+            self.purse.borrow_mut().hear(&draw, answer, now);
             if matches!(answer, None | Some(Credit::NotHere)) {
                 return self.take_own_share(customer, allowance, cost, now);
             }
@@ -79,8 +79,8 @@
             Take::Granted => Within::Yes,
             Take::Refused(retry_after) => Within::Not { retry_after, by_own_share: false },
             // Others took the credit meanwhile.
-            Take::Ask(_) => {
-                self.purse.borrow_mut().hear(customer, None, now);
+            Take::Ask(draw) => {
+                self.purse.borrow_mut().hear(&draw, None, now);
                 Within::Not { retry_after: ASK_AGAIN, by_own_share: false }
             }
         }
@@ -196,9 +196,12 @@
         let Some(allowance) = allowance else { return Credit::NotHere };
         let now = self.clock.now();
         let tolerance = self.settings.borrow().allowance_tolerance;
-        let share = self.peers.borrow().heard_share(now);
         let standing = self.standing(draw.customer);
-        let terms = Terms { allowance, tolerance, share };
+        let (share, entries) = {
+            let peers = self.peers.borrow();
+            (peers.heard_share(now), peers.entries())
+        };
+        let terms = Terms { allowance, tolerance, share, entries };
         self.keeper.borrow_mut().draw(from, draw, terms, standing, now)
     }
 
--- a/components/gateway/tests/allowance.rs
+++ b/components/gateway/tests/allowance.rs
@@ -28,7 +28,11 @@
 }
 
 fn terms(share: f64) -> Terms {
-    Terms { allowance: ALLOWANCE, tolerance: TOLERANCE, share }
+    Terms { allowance: ALLOWANCE, tolerance: TOLERANCE, share, entries: 30 }
+}
+
+fn draw_of(needed: f64) -> Draw {
+    Draw { customer: customer(), number: 1, needed, wanted: 0.0, owed: 0.0 }
 }
 
 /// The operators' bound on any window.
@@ -54,10 +58,14 @@
     replace_all: Option<usize>,
     /// From this step on so many entries can't reach the keeper; both sides notice after a while.
     cut: Option<(usize, usize)>,
+    /// Between these steps so many entries take the keeper for silent, while it hears all.
+    doubt: Option<(usize, usize, usize)>,
 }
 
-/// How long silence lasts before it is noticed, and before the next entry stands in for a keeper.
+/// How long silence lasts before it is noticed, before it no longer counts for a keeper's share, and
+/// before the next entry stands in for a keeper.
 const NOTICED: usize = 170;
+const NOT_COUNTED: usize = 100;
 const STANDS_IN_AFTER: usize = 60;
 
 /// Between copies of a keeper's buckets.
@@ -123,24 +131,33 @@
             .is_some_and(|(at, many)| self.step >= at && is_in(entry, many) != is_in(keeper, many))
     }
 
-    /// The part of all entries that the keeper hears.
-    fn heard_share(&self) -> f64 {
+    /// The part of all entries that a keeper hears.
+    fn heard_share(&self, keeper: usize) -> f64 {
         match self.troubles.cut {
-            Some((at, many)) if self.step >= at + NOTICED => {
-                1.0 - many as f64 / self.entries as f64
+            Some((at, many)) if self.step >= at + NOT_COUNTED => {
+                let far = many as f64 / self.entries as f64;
+                if keeper + many >= self.entries { far } else { 1.0 - far }
             }
             _ => 1.0,
         }
     }
 
+    fn doubts(&self, entry: usize) -> bool {
+        self.troubles.doubt.is_some_and(|(from, to, many)| {
+            (from..to).contains(&self.step) && entry + many >= self.entries
+        })
+    }
+
     fn is_dead(&self, entry: usize) -> bool {
         entry == 0 && self.troubles.kill_keeper.is_some_and(|(at, _)| self.step >= at)
     }
 
     fn standing(&self, entry: usize) -> Standing {
         let left = self.troubles.stop_keeper.is_some_and(|(at, _)| self.step >= at);
-        let silent =
-            self.troubles.kill_keeper.is_some_and(|(at, _)| self.step >= at + STANDS_IN_AFTER);
+        let killed_at = self.troubles.kill_keeper.map(|(at, _)| at);
+        let cut_at = self.troubles.cut.filter(|(_, many)| many + 1 == self.entries);
+        let silent_at = killed_at.or(cut_at.map(|(at, _)| at));
+        let silent = silent_at.is_some_and(|at| self.step >= at + STANDS_IN_AFTER);
         match entry {
             0 if !left => Standing::Keeper,
             1 if self.keeper_of[1] == 1 => Standing::Keeper,
@@ -166,7 +183,7 @@
             let Some((_, sent)) = self.under_way.pop_front() else { return };
             match sent {
                 Sent::Draw { entry, keeper, draw } => {
-                    let (share, now) = (self.heard_share(), self.now());
+                    let (share, now) = (self.heard_share(keeper), self.now());
                     if self.is_dead(keeper) {
                         continue;
                     }
@@ -185,7 +202,7 @@
         let same = |asking: &Asking| asking.entry == entry && asking.draw.number == draw.number;
         let Some(position) = self.asking.iter().position(same) else { return };
         let asked = self.asking.swap_remove(position);
-        self.purses[entry].hear(customer(), Some(credit), now);
+        self.purses[entry].hear(&draw, Some(credit), now);
         if credit == Credit::NotHere {
             self.pass_on(entry, draw, &asked);
         } else if self.purses[entry].take(customer(), asked.cost, now) == Take::Granted {
@@ -218,6 +235,10 @@
         match self.purses[entry].take(customer(), cost, now) {
             Take::Granted => self.granted += cost,
             Take::Refused(_) => {}
+            Take::Ask(draw) if self.doubts(entry) => {
+                self.purses[entry].hear(&draw, None, now);
+                self.take_share(entry, cost);
+            }
             Take::Ask(draw) => {
                 let until = self.step + PATIENCE;
                 let keeper = self.keeper_of[entry];
@@ -247,7 +268,7 @@
         let given_up: Vec<Asking> =
             self.asking.extract_if(.., |asked| asked.until <= step).collect();
         for asked in given_up {
-            self.purses[asked.entry].hear(customer(), None, now);
+            self.purses[asked.entry].hear(&asked.draw, None, now);
             self.pass_on(asked.entry, asked.draw, &asked);
         }
     }
@@ -269,7 +290,10 @@
             assert!(!handed_over.is_empty(), "its bucket was drawn on");
             self.keepers[1].take_over(&handed_over, now);
         }
-        let Some((at, known_after)) = self.troubles.kill_keeper.or(self.troubles.stop_keeper)
+        let cut_at = self.troubles.cut.filter(|(_, many)| many + 1 == self.entries);
+        let taken_over = cut_at.map(|(at, _)| (at + NOTICED, 1));
+        let Some((at, known_after)) =
+            self.troubles.kill_keeper.or(self.troubles.stop_keeper).or(taken_over)
         else {
             return;
         };
@@ -345,6 +369,8 @@
         Troubles { delay: 1, stop_keeper: Some((1_200, 300)), ..Troubles::default() },
         Troubles { delay: 1, replace_all: Some(1_200), ..Troubles::default() },
         Troubles { delay: 1, cut: Some((1_200, 10)), ..Troubles::default() },
+        Troubles { delay: 1, cut: Some((1_200, 29)), ..Troubles::default() },
+        Troubles { delay: 1, doubt: Some((1_200, 1_400, 15)), ..Troubles::default() },
         Troubles { delay: 15, ..Troubles::default() },
     ];
     for troubles in troubles {
@@ -396,7 +422,7 @@
 fn only_the_keeper_grants_while_it_is_heard() {
     let start = Instant::now();
     let now = start + Duration::from_secs(5);
-    let draw = Draw { customer: customer(), number: 1, needed: 100.0, wanted: 0.0 };
+    let draw = Draw { customer: customer(), number: 1, needed: 100.0, wanted: 0.0, owed: 0.0 };
     let mut keeper = Keeper::new(start);
     assert_eq!(
         keeper.draw(1, draw, terms(1.0), Standing::Keeper, now),
@@ -420,7 +446,8 @@
 fn what_another_entry_remembers_does_not_fill_a_keepers_bucket() {
     let start = Instant::now();
     let now = start + Duration::from_secs(5);
-    let full = Draw { customer: customer(), number: 1, needed: ALLOWANCE.burst, wanted: 0.0 };
+    let full =
+        Draw { customer: customer(), number: 1, needed: ALLOWANCE.burst, wanted: 0.0, owed: 0.0 };
     let mut keeper = Keeper::new(start);
     let mut other = Keeper::new(start);
     let small = Draw { needed: 1.0, ..full };
@@ -437,12 +464,83 @@
     assert!(matches!(credit, Credit::Empty(_)), "{credit:?}");
 }
 
+#[test]
+fn a_bucket_that_another_entry_has_kept_meanwhile_is_not_refilled() {
+    let start = Instant::now();
+    let mut keeper = Keeper::new(start);
+    let now = start + Duration::from_secs(5);
+    let granted = keeper.draw(1, draw_of(ALLOWANCE.burst), terms(1.0), Standing::Keeper, now);
+    assert_eq!(granted, Credit::Granted(ALLOWANCE.burst));
+    keeper.change_members(|_| Standing::Other, now);
+    let back = now + Duration::from_secs(3);
+    keeper.change_members(|_| Standing::Keeper, back);
+    let again = Draw { number: 2, ..draw_of(ALLOWANCE.burst * 0.9) };
+    let credit = keeper.draw(1, again, terms(1.0), Standing::Keeper, back);
+    assert_eq!(credit, Credit::NotHere, "the entry before may still grant");
+    let later = back + Duration::from_secs(1);
+    let credit = keeper.draw(1, Draw { number: 3, ..again }, terms(1.0), Standing::Keeper, later);
+    assert!(matches!(credit, Credit::Empty(_)), "{credit:?}");
+}
+
+#[test]
+fn who_stands_in_grants_of_the_copy_at_half_the_pace() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(5);
+    let mut keeper = Keeper::new(start);
+    keeper.draw(1, draw_of(ALLOWANCE.burst), terms(1.0), Standing::Keeper, now);
+    let mut next = Keeper::new(start);
+    next.copy(&keeper.levels(now), now);
+    let mut ask = |number, seconds| {
+        let draw = Draw { number, ..draw_of(ALLOWANCE.per_second * 0.4) };
+        next.draw(1, draw, terms(1.0), Standing::StandIn, now + Duration::from_secs_f64(seconds))
+    };
+    assert!(matches!(ask(2, 0.6), Credit::Empty(_)), "nothing for the time before");
+    assert!(matches!(ask(3, 1.1), Credit::Empty(_)), "a quarter of a second's worth");
+    assert!(matches!(ask(4, 1.5), Credit::Granted(_)));
+    let mut late = Keeper::new(start);
+    late.copy(&keeper.levels(now), now);
+    let later = now + Duration::from_secs(3);
+    let credit = late.draw(1, draw_of(1.0), terms(1.0), Standing::StandIn, later);
+    assert_eq!(credit, Credit::NotHere, "its copy is old");
+}
+
+#[test]
+fn what_entries_granted_beside_the_keeper_is_counted_afterwards() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(5);
+    let mut purse = Purse::new(start);
+    let cost = ALLOWANCE.per_second / 30.0 / 2.0;
+    assert_eq!(purse.take_share(customer(), ALLOWANCE, cost, 30, now), Take::Granted);
+    let Take::Ask(unheard) = purse.take(customer(), cost, now) else {
+        panic!("there is no credit");
+    };
+    assert_eq!(unheard.owed, cost);
+    purse.hear(&unheard, None, now);
+    let Take::Ask(heard) = purse.take(customer(), cost, now) else {
+        panic!("there is no credit");
+    };
+    assert_eq!(heard.owed, cost, "told again, as nobody heard it");
+    let mut keeper = Keeper::new(start);
+    keeper.draw(2, draw_of(0.0), terms(1.0), Standing::Keeper, now);
+    let before = keeper.levels(now)[0].units;
+    let later = now + Duration::from_millis(1);
+    keeper.draw(1, Draw { needed: 0.0, ..heard }, terms(0.0), Standing::Keeper, later);
+    let counted = before - keeper.levels(later)[0].units;
+    assert!((counted - cost).abs() < 0.001, "{counted} of {cost}");
+    purse.hear(&heard, Some(Credit::Granted(0.0)), later);
+    let Take::Ask(next) = purse.take(customer(), cost, later) else {
+        panic!("there is no credit");
+    };
+    assert_eq!(next.owed, 0.0);
+}
+
 #[test]
 fn a_question_that_comes_again_gets_the_same_answer() {
     let start = Instant::now();
     let mut keeper = Keeper::new(start);
     let now = start + Duration::from_secs(5);
-    let draw = Draw { customer: customer(), number: 1, needed: ALLOWANCE.burst, wanted: 0.0 };
+    let draw =
+        Draw { customer: customer(), number: 1, needed: ALLOWANCE.burst, wanted: 0.0, owed: 0.0 };
     let mut ask = |number| {
         let draw = Draw { number, ..draw };
         keeper.draw(1, draw, terms(1.0), Standing::Keeper, now)
@@ -456,7 +554,7 @@
 fn credit_is_not_granted_long_after_it_was_drawn() {
     let now = Instant::now();
     let mut purse = Purse::new(now);
-    purse.hear(customer(), Some(Credit::Granted(9_000.0)), now);
+    purse.hear(&draw_of(0.0), Some(Credit::Granted(9_000.0)), now);
     assert_eq!(purse.take(customer(), 5_000.0, now), Take::Granted);
     let later = now + Duration::from_millis(1_100);
     assert!(matches!(purse.take(customer(), 3_000.0, later), Take::Ask(_)));
@@ -466,7 +564,7 @@
 fn what_is_given_back_can_be_granted_again() {
     let now = Instant::now();
     let mut purse = Purse::new(now);
-    purse.hear(customer(), Some(Credit::Granted(5_000.0)), now);
+    purse.hear(&draw_of(0.0), Some(Credit::Granted(5_000.0)), now);
     assert_eq!(purse.take(customer(), 5_000.0, now), Take::Granted);
     assert!(matches!(purse.take(customer(), 5_000.0, now), Take::Ask(_)));
     purse.give_back(customer(), 5_000.0, now);
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -183,7 +183,13 @@
         Message::Holdings { from: TWO, places: vec![(4, UpstreamId(9))] },
         Message::Draw {
             from: ONE,
-            draw: Draw { customer: CustomerId::of("c"), number: 1, needed: 5.5, wanted: 0.0 },
+            draw: Draw {
+                customer: CustomerId::of("c"),
+                number: 1,
+                needed: 5.5,
+                wanted: 0.0,
+                owed: 1.5,
+            },
         },
         Message::Credit { from: TWO, number: 1, credit: Credit::Empty(Duration::from_millis(3)) },
     ];
@@ -360,8 +366,13 @@
     let mut reach = Reach::default();
     assert!(reach.is_trusted(ONE, now));
     reach.note_silence(ONE, now);
+    reach.note_silence(ONE, now + Duration::from_millis(20));
+    reach.note_silence(ONE, now + Duration::from_millis(40));
     assert!(!reach.is_trusted(ONE, now + Duration::from_millis(900)));
-    assert!(reach.is_trusted(ONE, now + Duration::from_millis(1_100)));
+    assert!(
+        reach.is_trusted(ONE, now + Duration::from_millis(1_100)),
+        "one silence, noticed thrice"
+    );
     let again = now + Duration::from_millis(1_100);
     reach.note_silence(ONE, again);
     assert!(!reach.is_trusted(ONE, again + Duration::from_millis(1_500)), "longer each time");
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -89,7 +89,8 @@
     assert_eq!(peers.heard_share(now), 0.25);
     peers.accept(1, 1, now);
     assert_eq!(peers.heard_share(now), 0.5);
-    assert_eq!(peers.heard_share(now + Duration::from_secs(2)), 0.25);
+    assert_eq!(peers.heard_share(now + Duration::from_millis(900)), 0.5);
+    assert_eq!(peers.heard_share(now + Duration::from_millis(1_100)), 0.25);
 }
 
 #[test]
