--- a/components/scenario/src/process.rs
+++ b/components/scenario/src/process.rs
@@ -21,7 +21,7 @@
 /// First word of the line that a program prints when it serves.
 const READY_WORD: &str = "ready";
 
-/// A child process that has said it is ready.
+/// A child process.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
@@ -46,6 +46,19 @@
         Ok(process)
     }
 
+    /// Starts a program that is not waited for; all that it prints goes to `log`.
+    pub fn launch(program: &Path, arguments: &[String], log: &Path) -> Result<Process> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("{}", program.display()))?;
+        Ok(Process { child, addresses: Vec::new() })
+    }
+
     /// The addresses that it printed.
     pub fn addresses(&self) -> &[SocketAddr] {
         &self.addresses
@@ -73,6 +86,11 @@
         self.signal(Signal::CONT)
     }
 
+    /// SIGHUP.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// SIGTERM.
     pub fn terminate(&self) -> Result<()> {
         self.signal(Signal::TERM)
--- a/components/scenario/src/relay.rs
+++ b/components/scenario/src/relay.rs
@@ -1,6 +1,7 @@
-//! A TCP relay that cuts connections or stops forwarding without closing them.
+//! A TCP relay that cuts or delays connections, or stops forwarding without closing them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Result;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -29,6 +30,7 @@
     silent_backward_below: u64,
     cut_below: u64,
     refusing: bool,
+    delay: Duration,
 }
 
 impl Faults {
@@ -84,9 +86,17 @@
         });
     }
 
-    /// New connections work again.
+    /// What passes through is held back for so long, until `mend`.
+    pub fn delay(&self, delay: Duration) {
+        self.faults.send_modify(|faults| faults.delay = delay);
+    }
+
+    /// New connections work again, without delay.
     pub fn mend(&self) {
-        self.faults.send_modify(|faults| faults.refusing = false);
+        self.faults.send_modify(|faults| {
+            faults.refusing = false;
+            faults.delay = Duration::ZERO;
+        });
     }
 }
 
@@ -167,6 +177,10 @@
         };
         let Some(read) = read else { return std::future::pending().await };
         let Ok(length) = read else { return };
+        let delay = faults.borrow().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
             let _ = to.shutdown().await;
             return;
