Wait for a keeper that does not grant yet; name abandoned requests in the log

Change: while no keeper answers a request waits, for half of its route's objective or 600 ms at most, for the share or the keeper. A keeper that has just started counts what was regained while it waited, less what entries tell that they granted. Also: request.abandoned and a counter for callers that leave before an answer; optional fields print a value or none. An empty start in calm stays: an entry before may grant.

--- a/components/gateway/src/allowance/keeper.rs
+++ b/components/gateway/src/allowance/keeper.rs
@@ -10,6 +10,10 @@
 /// entries know, the one before may grant as well.
 const TAKEOVER: Duration = Duration::from_millis(600);
 
+/// How long after its start a process learns who the members are: a reading of the store, and the
+/// entries that start with it.
+const START_UP: Duration = Duration::from_secs(2);
+
 /// How much more than the allowance a bucket regains: callers whose requests are counted at the edge of
 /// a window get theirs, and the operators tolerate 1.1.
 const REGAINED_SHARE: f64 = 1.05;
@@ -73,6 +77,7 @@
 #[derive(Debug)]
 pub struct Keeper {
     buckets: HashMap<CustomerId, Bucket>,
+    started_at: Instant,
     /// Since when this entry keeps the customers that it has no bucket of.
     keeps_since: Instant,
     answered: HashMap<Question, Credit>,
@@ -84,6 +89,7 @@
     pub fn new(now: Instant) -> Keeper {
         Keeper {
             buckets: HashMap::new(),
+            started_at: now,
             keeps_since: now,
             answered: HashMap::new(),
             answered_at: VecDeque::new(),
@@ -167,6 +173,13 @@
         credit
     }
 
+    /// Whether members came or went only while this process started. Whoever kept its buckets before
+    /// has handed them over, or is gone: then only even shares were granted since, which entries tell
+    /// when they draw.
+    fn is_starting(&self) -> bool {
+        self.keeps_since.saturating_duration_since(self.started_at) < START_UP
+    }
+
     fn forget_old(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) > REMEMBERED;
         while let Some((_, question)) = self.answered_at.pop_front_if(|(at, _)| is_old(*at)) {
@@ -187,7 +200,8 @@
             return Credit::NotHere;
         }
         if known.is_none() {
-            let empty = Bucket { began_at: Some(starts_at), ..Bucket::new(0.0, starts_at) };
+            let since = if self.is_starting() { self.keeps_since } else { starts_at };
+            let empty = Bucket { began_at: Some(since), ..Bucket::new(0.0, since) };
             self.buckets.insert(draw.customer, empty);
         }
         let Some(bucket) = self.buckets.get_mut(&draw.customer) else { return Credit::NotHere };
--- a/components/gateway/src/shell/admission.rs
+++ b/components/gateway/src/shell/admission.rs
@@ -29,6 +29,10 @@
 /// missed checks, a second apart.
 const ADMITTED_AT_STOP: Duration = Duration::from_millis(2_800);
 
+/// Part of a route's objective for the first event, as a divisor, for which a request waits for its
+/// customer's keeper: the rest is for the upstream.
+const AWAITED_PART: u32 = 2;
+
 /// Part of the time left within which a caller still honours a time to come back.
 const HONOURED_SHARE: f64 = 1.0 / 3.0;
 
@@ -143,7 +147,8 @@
             .ok_or_else(|| Refusal::not_run(ResultCode::NoUpstream))?
             .to_owned();
         let tokens_per_event = known.tokens_per_event.get(&service).copied().unwrap_or(1);
-        let taken = self.admit_customer(customer.as_deref(), &facts, limit_at).await?;
+        let patience = (route.latency_objective / AWAITED_PART).min(patience);
+        let taken = self.admit_customer(customer.as_deref(), &facts, patience, limit_at).await?;
         let tier = customer.as_ref().and_then(|customer| customer.tier).unwrap_or(route.tier);
         let rank = Rank { tier, route_tier: route.tier };
         let Incoming { method, target, headers, body, .. } = incoming;
@@ -186,6 +191,7 @@
         &self,
         customer: Option<&Customer>,
         facts: &RequestFacts,
+        patience: Duration,
         limit_at: Instant,
     ) -> Result<f64, Refusal> {
         let Some((customer, allowance)) =
@@ -195,7 +201,7 @@
         };
         let cost = cost(allowance.unit, facts);
         let id = CustomerId::of(&customer.name);
-        match self.take_allowance(id, allowance, cost).await {
+        match self.take_allowance(id, allowance, cost, patience).await {
             Within::Yes => Ok(cost),
             Within::Not { retry_after, by_own_share } => {
                 info!(
--- a/components/gateway/src/shell/callers.rs
+++ b/components/gateway/src/shell/callers.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::answer::{build, build_refusal};
+use super::fields::or_none;
 use super::hand_over::SharedRef;
 use super::relay::BrokenStream;
 use super::{exchange, head};
@@ -194,6 +195,24 @@
     }
 }
 
+/// A request that has no answer yet. Dropped before it has one, its caller has left.
+struct Followed {
+    shared: SharedRef,
+    id: String,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Drop for Followed {
+    fn drop(&mut self) {
+        if !self.answered {
+            let elapsed = self.shared.clock.now().saturating_duration_since(self.arrived);
+            self.shared.metrics.count(None, "abandoned", elapsed);
+            info!("request.abandoned id={} after_ms={}", self.id, elapsed.as_millis());
+        }
+    }
+}
+
 async fn answer(shared: SharedRef, connected: Rc<Connected>, request: Request) -> Response<Body> {
     let open = OpenRequest::new(connected, shared.clone());
     let arrived = shared.clock.now();
@@ -206,10 +225,12 @@
         }
     };
     let id = shared.dialect.attempt_id(&incoming.headers);
+    let mut followed = Followed { shared: shared.clone(), id, arrived, answered: false };
     let (tier, served) = match shared.admit(incoming, arrived).await {
         Ok(call) => (Some(call.rank.route_tier), exchange::serve(&shared, call).await),
         Err(refusal) => (None, Err(refusal)),
     };
+    followed.answered = true;
     let elapsed = shared.clock.now().saturating_duration_since(arrived);
     let close = shared.is_stopping() || shared.is_behind();
     match served {
@@ -221,11 +242,12 @@
             shared.metrics.count(tier, refusal.code.name(), elapsed);
             let version = shared.configuration().map_or(0, |known| known.version);
             info!(
-                "request.refused id={id} code={} name={} outcome={} retry_after={:?} after_ms={} configuration={version} confirmation_age_ms={}",
+                "request.refused id={} code={} name={} outcome={} retry_after_ms={} after_ms={} configuration={version} confirmation_age_ms={}",
+                followed.id,
                 refusal.code.number(),
                 refusal.code.name(),
                 refusal.outcome.name(),
-                refusal.retry_after,
+                or_none(refusal.retry_after.map(|wait| wait.as_millis())),
                 elapsed.as_millis(),
                 shared.confirmation_age_ms(),
             );
--- a/components/gateway/src/shell/credit.rs
+++ b/components/gateway/src/shell/credit.rs
@@ -21,6 +21,13 @@
 /// Entries that are asked: the keeper, and the one that stands in for it.
 const KEEPERS: usize = 2;
 
+/// Longest wait of a request for a keeper that does not grant yet: as long as one that takes over
+/// lets pass.
+const KEEPER_AWAITED: Duration = Duration::from_millis(600);
+
+/// Longest pause in that time before the keeper is asked again.
+const KEEPER_POLL: Duration = Duration::from_millis(100);
+
 /// Silence of a keeper after which the next in the ranking stands in for it; two copies long.
 const KEEPER_SILENCE: Duration = Duration::from_millis(600);
 
@@ -56,15 +63,30 @@
 }
 
 impl Shared {
-    /// Takes a request's cost out of its customer's allowance.
+    /// Takes a request's cost out of its customer's allowance. While no keeper answers, it waits, for
+    /// `patience` at most, until the entry's own share is enough or a keeper is there.
     pub(super) async fn take_allowance(
         &self,
         customer: CustomerId,
         allowance: Allowance,
         cost: f64,
+        patience: Duration,
     ) -> Within {
+        self.purse.borrow_mut().note_demand(customer, cost, self.clock.now());
+        let until = self.clock.now() + patience.min(KEEPER_AWAITED);
+        loop {
+            let within = self.try_allowance(customer, allowance, cost).await;
+            let Within::Not { retry_after, by_own_share: true } = within else { return within };
+            let pause = retry_after.min(KEEPER_POLL);
+            if self.clock.now() + pause > until {
+                return within;
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn try_allowance(&self, customer: CustomerId, allowance: Allowance, cost: f64) -> Within {
         let now = self.clock.now();
-        self.purse.borrow_mut().note_demand(customer, cost, now);
         let mut take = self.purse.borrow_mut().take(customer, cost, now);
         if let Take::Ask(draw) = take {
             let answer = self.draw(draw).await;
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod credit;
 mod exchange;
+mod fields;
 mod hand_over;
 mod head;
 mod metrics;
--- a/components/gateway/src/shell/relay.rs
+++ b/components/gateway/src/shell/relay.rs
@@ -14,6 +14,7 @@
 use super::admission::Call;
 use super::callers::OpenRequest;
 use super::exchange::Tried;
+use super::fields::or_none;
 use super::hand_over::{Began, SharedRef, Started};
 use super::places;
 use super::seat::Seat;
@@ -220,7 +221,7 @@
         let since = |at: Instant| at.saturating_duration_since(self.call.arrived).as_millis();
         let in_time = self.is_in_time();
         info!(
-            "stream.end id={} route={} instance={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} hand_overs={} placed_ms={} first_ms={:?} end_ms={} events={} longest_pause_ms={}",
+            "stream.end id={} route={} instance={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} hand_overs={} placed_ms={} first_ms={} end_ms={} events={} longest_pause_ms={}",
             self.call.facts.attempt_id,
             self.call.route.name,
             self.seat.upstream().instance,
@@ -231,7 +232,7 @@
             self.call.facts.output_estimate.unwrap_or(0),
             self.tried.hand_overs,
             since(self.seat.at()),
-            self.first_at.map(since),
+            or_none(self.first_at.map(since)),
             since(now),
             self.events,
             self.longest_pause.as_millis(),
@@ -263,10 +264,10 @@
             self.seat = seat;
             let began = self.shared.send(&call, &mut self.seat, self.last_id).await;
             info!(
-                "stream.resume id={} instance={} after={:?}",
+                "stream.resume id={} instance={} after={}",
                 call.facts.attempt_id,
                 self.seat.upstream().instance,
-                self.last_id
+                or_none(self.last_id)
             );
             match began {
                 Began::Started(started) if started.status.is_success() => {
--- a/components/gateway/tests/allowance.rs
+++ b/components/gateway/tests/allowance.rs
@@ -482,6 +482,25 @@
     assert!(matches!(credit, Credit::Empty(_)), "{credit:?}");
 }
 
+#[test]
+fn a_keeper_that_has_just_started_counts_what_was_regained_while_it_waited() {
+    let start = Instant::now();
+    let mut keeper = Keeper::new(start);
+    let known = start + Duration::from_millis(200);
+    keeper.change_members(|_| Standing::Keeper, known);
+    let half = draw_of(ALLOWANCE.per_second * 0.5);
+    let early = known + Duration::from_millis(500);
+    let credit = keeper.draw(1, half, terms(1.0), Standing::Keeper, early);
+    assert_eq!(credit, Credit::NotHere);
+    let now = known + Duration::from_millis(600);
+    let told = Draw { number: 2, needed: 0.0, owed: ALLOWANCE.per_second / 60.0, ..half };
+    keeper.draw(2, told, terms(1.0), Standing::Keeper, now);
+    let credit = keeper.draw(1, Draw { number: 3, ..half }, terms(1.0), Standing::Keeper, now);
+    assert_eq!(credit, Credit::Granted(half.needed));
+    let left = keeper.levels(now)[0].units / ALLOWANCE.per_second;
+    assert!((0.08..0.14).contains(&left), "{left} s of the allowance");
+}
+
 #[test]
 fn who_stands_in_grants_of_the_copy_at_half_the_pace() {
     let start = Instant::now();
