Take in the upstreams of a reading together; split the store's side off the shell

Change: changes are noted and come into force when the reading that brought them is confirmed; the roster says whether it is empty; shell/directory.rs holds what the adapter reports to. No decision changes.

--- a/components/gateway/src/roster.rs
+++ b/components/gateway/src/roster.rs
@@ -129,6 +129,11 @@
         self.fingerprint
     }
 
+    /// Whether no upstream may be used.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// The upstreams that may be used, draining ones included.
     pub fn usable(&self) -> Vec<Upstream> {
         self.entries.values().map(|entry| entry.upstream.clone()).collect()
--- a/components/gateway/src/shell/mod.rs
+++ b/components/gateway/src/shell/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod callers;
 mod credit;
+mod directory;
 mod exchange;
 mod fields;
 mod hand_over;
@@ -55,8 +56,8 @@
 pub trait Directory {
     /// The store holds this configuration. `asked_at` is the uptime at which it was asked.
     fn configure(&self, configuration: Configuration, asked_at: Duration);
-    /// The store holds nothing newer than what was told. `asked_at` is the uptime at which it was
-    /// asked.
+    /// The store holds nothing newer than what was told: upstreams that were told of come into force
+    /// together. `asked_at` is the uptime at which it was asked.
     fn confirm(&self, asked_at: Duration);
     /// Whether the store should be read now.
     fn is_reading_due(&self) -> bool;
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -24,8 +24,8 @@
 /// there it shows only that the sender is alive and how late it reads the store.
 const ROUNDS_TO_ALL_ZONES: u32 = 4;
 
-/// Between lists of the places that an entry holds, and copies of the buckets that it keeps. Lists show a broker what it missed: a release
-/// that was lost, or places that another broker gave.
+/// Between lists of the places that an entry holds, and copies of the buckets that it keeps. Lists show
+/// a broker what it missed: a release that was lost, or places that another broker gave.
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(250);
 
 /// Datagrams that are read in one go.
--- a/components/gateway/src/shell/state.rs
+++ b/components/gateway/src/shell/state.rs
@@ -9,13 +9,13 @@
 use anyhow::Result;
 use clock::Clock;
 use link::{Pool, Timeouts};
-use log::{info, warn};
+use log::info;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot};
 
+use super::Gateway;
 use super::metrics::Metrics;
-use super::{Directory, Gateway};
 use crate::Settings;
 use crate::allowance::{Credit, CustomerId, Keeper, Purse};
 use crate::broker::{Broker, Matter, Reach, Ticket, Verdict};
@@ -24,12 +24,10 @@
 use crate::customers::KeyRing;
 use crate::dialect::Dialect;
 use crate::freshness::Freshness;
-use crate::model::{
-    Allowance, CallerLimits, Configuration, Customer, PeerId, ServiceId, Upstream, UpstreamId,
-};
-use crate::peers::{Member, Peers};
+use crate::model::{Allowance, CallerLimits, PeerId, ServiceId, Upstream, UpstreamId};
+use crate::peers::Peers;
 use crate::reading::Readings;
-use crate::roster::{Roster, RosterChange};
+use crate::roster::Roster;
 use crate::routes::RouteTable;
 
 /// How connections to upstreams are watched. A handshake takes one round trip, tens of milliseconds
@@ -103,8 +101,10 @@
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
     pub(super) readings: RefCell<Readings>,
-    roster: RefCell<Roster>,
-    members_fingerprint: Cell<u64>,
+    pub(super) roster: RefCell<Roster>,
+    pub(super) members_fingerprint: Cell<u64>,
+    /// Whether upstreams came, went or changed since the last reading was taken in.
+    pub(super) upstreams_changed: Cell<bool>,
     was_ready: Cell<bool>,
 }
 
@@ -147,6 +147,7 @@
             readings: RefCell::default(),
             roster: RefCell::default(),
             members_fingerprint: Cell::new(0),
+            upstreams_changed: Cell::new(false),
             was_ready: Cell::new(false),
         })
     }
@@ -185,7 +186,7 @@
             && self.configuration().is_some()
             && self.honours_keys()
             && !self.is_behind()
-            && !self.roster.borrow().usable().is_empty();
+            && !self.roster.borrow().is_empty();
         if self.was_ready.replace(ready) != ready {
             let age_ms = self.confirmation_age_ms();
             info!("ready.changed ready={ready} confirmation_age_ms={age_ms}");
@@ -250,7 +251,8 @@
     pub(super) fn settle(&self) {
         let now = self.clock.now();
         let change = self.roster.borrow_mut().settle(now);
-        self.apply_roster(change);
+        self.note_roster(change);
+        self.apply_roster();
         {
             let mut peers = self.peers.borrow_mut();
             peers.settle(now);
@@ -278,125 +280,7 @@
         );
     }
 
-    /// Whether a member is this process, or the one that was at its address before.
-    fn is_own(&self, member: &Member) -> bool {
-        let own = self.socket.local_addr().ok();
-        member.id == self.process_id || Some(member.address) == own
-    }
-
     fn is_broker(&self, service: ServiceId) -> bool {
         self.ranked_brokers(service).first() == Some(&self.process_id)
     }
-
-    fn apply_roster(&self, change: RosterChange) {
-        if change == RosterChange::None {
-            return;
-        }
-        let usable = self.roster.borrow().usable();
-        let draining = usable.iter().filter(|upstream| upstream.draining).count();
-        info!("upstreams.changed known={} draining={draining}", usable.len());
-        let now = self.clock.now();
-        self.take_upstreams(&usable);
-        let replies = self.broker.borrow_mut().set_upstreams(&usable, now);
-        self.send_replies(replies);
-    }
-
-    /// Replaces the upstreams that may be used; connections to those that are gone are closed.
-    fn take_upstreams(&self, usable: &[Upstream]) {
-        let known = usable.iter().map(|upstream| (upstream.id(), upstream.clone())).collect();
-        let before = self.upstreams.replace(known);
-        let upstreams = self.upstreams.borrow();
-        for (id, upstream) in before {
-            if !upstreams.contains_key(&id) {
-                self.pool.forget(upstream.address);
-            }
-        }
-        self.contacts.borrow_mut().keep(|id| upstreams.contains_key(&id));
-    }
-}
-
-impl Directory for Shared {
-    fn configure(&self, configuration: Configuration, asked_at: Duration) {
-        let before = self.in_force.borrow().as_ref().map_or(0, |known| known.version);
-        if configuration.version < before {
-            warn!("configuration.older offered={} kept={before}", configuration.version);
-            return;
-        }
-        self.confirm_known(asked_at);
-        if configuration.version == before && before != 0 {
-            return;
-        }
-        let routes = RouteTable::new(&configuration.routes);
-        let (version, route_count) = (configuration.version, routes.len());
-        let engines = configuration.engines.into_iter();
-        let allowance_of =
-            |customer: &Customer| Some((CustomerId::of(&customer.name), customer.allowance?));
-        let in_force = InForce {
-            version,
-            routes,
-            tokens_per_event: engines
-                .map(|engine| (engine.service, engine.tokens_per_event))
-                .collect(),
-            allowances: configuration.customers.iter().filter_map(allowance_of).collect(),
-            keys: KeyRing::new(&configuration.customers),
-            asks_for_keys: !configuration.customers.is_empty(),
-            limits: configuration.caller_limits,
-        };
-        *self.in_force.borrow_mut() = Some(Rc::new(in_force));
-        self.metrics.show_version(version);
-        let customers = configuration.customers.len();
-        info!(
-            "configuration.changed version={version} before={before} routes={route_count} customers={customers}"
-        );
-    }
-
-    fn confirm(&self, asked_at: Duration) {
-        self.readings.borrow_mut().note_read(asked_at);
-        self.confirm_known(asked_at);
-    }
-
-    fn is_reading_due(&self) -> bool {
-        let uptime = self.clock.uptime();
-        self.readings.borrow().is_due(self.freshness.get().age(uptime), uptime)
-    }
-
-    fn announce(&self, upstream: Upstream) {
-        let change = self.roster.borrow_mut().announce(upstream);
-        self.apply_roster(change);
-    }
-
-    fn withdraw(&self, instance: &str) {
-        let change = self.roster.borrow_mut().withdraw(instance, self.clock.now());
-        info!("upstream.withdrawn instance={instance} kept={}", change == RosterChange::None);
-        self.apply_roster(change);
-    }
-
-    fn replace_upstreams(&self, listed: Vec<Upstream>) {
-        let change = self.roster.borrow_mut().replace_all(listed, self.clock.now());
-        self.apply_roster(change);
-    }
-
-    fn set_members(&self, members: Vec<Member>) {
-        let now = self.clock.now();
-        self.members_fingerprint.set(members.iter().fold(0, |sum, member| sum ^ member.id));
-        let others: Vec<Member> =
-            members.into_iter().filter(|member| !self.is_own(member)).collect();
-        let mut peers = self.peers.borrow_mut();
-        peers.set_members(&others, now);
-        info!("members.changed others={} counted={}", others.len(), peers.entries());
-        drop(peers);
-        self.note_candidates();
-    }
-
-    fn lose_store(&self, reason: &str) {
-        self.roster.borrow_mut().lose_store();
-        let age_ms = self.confirmation_age_ms();
-        warn!("store.lost reason={reason:?} confirmation_age_ms={age_ms}");
-    }
-
-    fn regain_store(&self) {
-        self.roster.borrow_mut().regain_store(self.clock.now());
-        let age_ms = self.confirmation_age_ms();
-        info!("store.regained confirmation_age_ms={age_ms}");
-    }
 }
--- a/components/gateway/tests/roster.rs
+++ b/components/gateway/tests/roster.rs
@@ -27,8 +27,10 @@
     let mut roster = Roster::default();
     assert_eq!(roster.announce(upstream("one")), RosterChange::Usable);
     assert_eq!(roster.announce(upstream("one")), RosterChange::None);
+    assert!(!roster.is_empty());
     assert_eq!(roster.withdraw("one", now), RosterChange::Usable);
     assert!(usable(&roster).is_empty());
+    assert!(roster.is_empty());
 }
 
 #[test]
