--- a/components/gateway/src/allowance/keeper.rs
+++ b/components/gateway/src/allowance/keeper.rs
@@ -189,7 +189,11 @@
 
     fn credit(&mut self, draw: Draw, terms: Terms, standing: Standing, now: Instant) -> Credit {
         let starts_at = self.keeps_since + TAKEOVER;
-        let known = self.buckets.get(&draw.customer).filter(|bucket| bucket.is_good(now));
+        let is_old = |bucket: &Bucket| !bucket.is_good(now);
+        if self.buckets.get(&draw.customer).is_some_and(is_old) {
+            self.buckets.remove(&draw.customer);
+        }
+        let known = self.buckets.get(&draw.customer);
         let entrusted = known.is_some_and(|bucket| bucket.is_entrusted(now));
         let may_grant = match standing {
             Standing::Keeper => known.is_some() || now >= starts_at,
@@ -199,12 +203,9 @@
         if !may_grant {
             return Credit::NotHere;
         }
-        if known.is_none() {
-            let since = if self.is_starting() { self.keeps_since } else { starts_at };
-            let empty = Bucket { began_at: Some(since), ..Bucket::new(0.0, since) };
-            self.buckets.insert(draw.customer, empty);
-        }
-        let Some(bucket) = self.buckets.get_mut(&draw.customer) else { return Credit::NotHere };
+        let since = if self.is_starting() { self.keeps_since } else { starts_at };
+        let empty = || Bucket { began_at: Some(since), ..Bucket::new(0.0, since) };
+        let bucket = self.buckets.entry(draw.customer).or_insert_with(empty);
         bucket.begin(now);
         bucket.kept = standing == Standing::Keeper || entrusted;
         let share = if bucket.kept { terms.share } else { terms.share * STAND_IN_SHARE };
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -66,7 +66,11 @@
     }
 
     fn is_heard(&self, now: Instant) -> bool {
-        self.heard_at.is_some_and(|at| now.saturating_duration_since(at) < HEARD_MEMORY)
+        self.is_heard_within(HEARD_MEMORY, now)
+    }
+
+    fn is_heard_within(&self, span: Duration, now: Instant) -> bool {
+        self.heard_at.is_some_and(|at| now.saturating_duration_since(at) < span)
     }
 
     /// Whether it may do something for all: it is heard, or has had no time to be.
@@ -177,8 +181,7 @@
 
     /// Whether a member has been heard within some time.
     pub fn is_heard_within(&self, id: PeerId, span: Duration, now: Instant) -> bool {
-        let heard_at = self.known.get(&id).and_then(|known| known.heard_at);
-        heard_at.is_some_and(|at| now.saturating_duration_since(at) < span)
+        self.known.get(&id).is_some_and(|known| known.is_heard_within(span, now))
     }
 
     /// Takes in whether a member leaves to others what one entry does for all; gives back whether it
@@ -197,8 +200,8 @@
 
     /// Part of all entries that was heard lately, this one included.
     pub fn heard_share(&self, now: Instant) -> f64 {
-        let heard = |at| now.saturating_duration_since(at) < COUNTED_MEMORY;
-        let heard = self.known.values().filter(|known| known.heard_at.is_some_and(heard)).count();
+        let is_counted = |known: &&Known| known.is_heard_within(COUNTED_MEMORY, now);
+        let heard = self.known.values().filter(is_counted).count();
         (heard + 1) as f64 / self.entries() as f64
     }
 
--- a/components/gateway/src/shell/credit.rs
+++ b/components/gateway/src/shell/credit.rs
@@ -7,14 +7,12 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::peering::ASK_AGAIN;
 use super::state::Shared;
 use crate::allowance::{Credit, CustomerId, Draw, Level, Standing, Take, Terms};
 use crate::broker::{Matter, Message};
 use crate::model::{Allowance, PeerId};
 
-/// After this a question is sent again: datagrams get lost.
-const ASK_AGAIN: Duration = Duration::from_millis(40);
-
 /// Questions after which a keeper that has not answered is passed over.
 const QUESTIONS: u32 = 3;
 
--- a/components/gateway/src/shell/peering.rs
+++ b/components/gateway/src/shell/peering.rs
@@ -17,6 +17,10 @@
 use crate::peers::Digest;
 use crate::reading::HeardReading;
 
+/// After this a question to another entry is sent again: datagrams get lost. Between regions an answer
+/// takes half of it.
+pub(super) const ASK_AGAIN: Duration = Duration::from_millis(40);
+
 /// Between digests: an entry that reads the store spares its zone's others a reading.
 const DIGEST_PERIOD: Duration = Duration::from_millis(200);
 
--- a/components/gateway/src/shell/places.rs
+++ b/components/gateway/src/shell/places.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use super::hand_over::SharedRef;
+use super::peering::ASK_AGAIN;
 use super::seat::Seat;
 use super::state::Shared;
 use crate::broker::{AskedJob, Matter, Message, Reply, Ticket, Verdict, rank_entries};
@@ -16,10 +17,6 @@
 use crate::peers::Candidate;
 use crate::scheduler::{Ending, Job, Observed, Refused, RefusedBecause};
 
-/// After this a question is sent again: datagrams get lost. Between regions an answer takes half of
-/// it.
-const ASK_AGAIN: Duration = Duration::from_millis(40);
-
 /// A broker that has not answered by now is passed over; several questions long, and a part of the
 /// least objective.
 const FIRST_ANSWER: Duration = Duration::from_millis(130);
