Limit customers by the operators' window instead of one second's bucket

Change: the owner counts the units granted in the window, in 16 slices, and holds the operators' limit exactly; the bucket is larger than the burst, as far as the slack covers a lost count, and replicas and handovers carry the count. Credit is prefetched only where it covers two further requests. Refused callers are told to come back one after the other. A standby starts with half of the burst.

Ruled out: more refill or overdraft, which would spend the operators' slack.

--- a/components/gateway/src/allowance/bucket_owner.rs
+++ b/components/gateway/src/allowance/bucket_owner.rs
@@ -1,8 +1,15 @@
 //! Token buckets of customers, at the gateway that owns them.
+//!
+//! What a customer may use is what the operators count: any window of theirs holds its rate times
+//! the window, plus its burst. The owner counts the units granted in that window. The bucket is
+//! larger than the burst, so that demand may clump within the window, and only as large as the
+//! operators' slack covers if the count is lost: when owner and standby die together, the next owner
+//! starts with an empty bucket and an empty count.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::window_usage::{WindowUsage, window_limit};
 use super::{BucketLevel, CreditReply, CreditRequest, CustomerId, Tolerance};
 use crate::model::{Allowance, PeerId};
 
@@ -14,17 +21,16 @@
 /// gateways that start at the same time register.
 const STARTUP_PERIOD: Duration = Duration::from_secs(2);
 
-/// Refill rate of a bucket, relative to the allowance. The excess makes up for requests that the
-/// operators' counter assigns to a neighbouring window; the operators tolerate 1.1 times the
-/// allowance.
-const REFILL_FACTOR: f64 = 1.05;
+/// Share of the operators' slack by which a bucket's capacity exceeds the burst. That much may be
+/// granted twice in a window if the count of the window is lost.
+const CAPACITY_SLACK_SHARE: f64 = 0.75;
 
-/// Share of the operators' slack by which a bucket may be overdrawn. Without it, requests larger
-/// than the remaining level would never be granted in a shortage.
+/// Share of the operators' slack by which a bucket or a window may be overdrawn. Without it,
+/// requests larger than the remaining level would never be granted in a shortage.
 const OVERDRAFT_SHARE: f64 = 0.25;
 
-/// Share of the allowance that a standby grants: the owner may merely be cut off, and then still
-/// grants until it notices.
+/// Share of the allowance and of the burst that a standby grants: the owner may merely be cut off,
+/// and then still grants until it notices.
 const STANDBY_SHARE: f64 = 0.5;
 
 /// Lifetime of a replica: longer than the silence after which an owner counts as gone, much shorter
@@ -65,6 +71,15 @@
 struct Bucket {
     level: f64,
     refilled_at: Instant,
+    /// Units granted in the operators' window.
+    usage: WindowUsage,
+    /// Since when the usage is counted; `None` if it covers the whole window. Until it does, the
+    /// bucket refills at the rate of the allowance only.
+    counted_since: Option<Instant>,
+    /// Limit that the usage was last compared with, in units for a window.
+    window_limit: Option<f64>,
+    /// Units that were refused and whose callers were told to come back.
+    refused_units: f64,
     /// Whether this gateway was the owner when the role was last evaluated.
     owned: bool,
     /// Since when this gateway grants from the bucket; `None` for an unused replica.
@@ -114,7 +129,7 @@
         self.buckets.retain(|customer, bucket| {
             let owns = role(*customer) == BucketRole::Owner || bucket.is_in_handover_grace(now);
             if bucket.owned && !owns {
-                to_hand_over.push(BucketLevel { customer: *customer, units: bucket.level });
+                to_hand_over.push(bucket.to_level(*customer, now));
                 return false;
             }
             let current = bucket.is_current(now);
@@ -133,34 +148,40 @@
             now.saturating_duration_since(bucket.last_used_at) < ACTIVE_BUCKET_PERIOD
         };
         let owned = self.buckets.iter().filter(|(_, bucket)| bucket.owned && is_active(bucket));
-        owned
-            .map(|(customer, bucket)| BucketLevel { customer: *customer, units: bucket.level })
-            .collect()
+        owned.map(|(customer, bucket)| bucket.to_level(*customer, now)).collect()
     }
 
     /// Stores replicas of another gateway's buckets. Buckets that this gateway owns are not
     /// overwritten.
     pub fn store_replicas(&mut self, levels: &[BucketLevel], now: Instant) {
-        for BucketLevel { customer, units } in levels {
-            if self.buckets.get(customer).is_none_or(|bucket| !bucket.owned) {
-                self.buckets.insert(*customer, Bucket::new(*units, now));
+        for level in levels {
+            if self.buckets.get(&level.customer).is_none_or(|bucket| !bucket.owned) {
+                self.buckets.insert(level.customer, Bucket::from_level(level, now));
             }
         }
     }
 
     /// Accepts buckets that another gateway hands over. If both gateways have granted from a
-    /// bucket, the lower level is used.
+    /// bucket, the lower level and the larger count are used.
     pub fn accept_handover(&mut self, levels: &[BucketLevel], now: Instant) {
-        for BucketLevel { customer, units } in levels {
-            let owned = self.buckets.get(customer).filter(|bucket| bucket.owned);
-            let units = owned.map_or(*units, |bucket| bucket.level.min(*units));
+        for level in levels {
+            let handed_over = Bucket::from_level(level, now);
+            let own = self.buckets.remove(&level.customer).filter(|bucket| bucket.owned);
+            let (units, usage) = match own {
+                Some(own) => {
+                    (own.level.min(handed_over.level), own.usage.larger(handed_over.usage))
+                }
+                None => (handed_over.level, handed_over.usage),
+            };
             let bucket = Bucket {
+                usage,
+                counted_since: None,
                 owned: true,
                 granting_since: Some(now),
                 handover_grace_until: Some(now + HANDOVER_GRACE_PERIOD),
                 ..Bucket::new(units, now)
             };
-            self.buckets.insert(*customer, bucket);
+            self.buckets.insert(level.customer, bucket);
         }
     }
 
@@ -225,6 +246,9 @@
         let new_bucket =
             || Bucket { granting_since: Some(refilled_at), ..Bucket::new(0.0, refilled_at) };
         let bucket = self.buckets.entry(request.customer).or_insert_with(new_bucket);
+        if role == BucketRole::Standby && bucket.granting_since.is_none() {
+            bucket.level = bucket.level.min(terms.allowance.burst * STANDBY_SHARE);
+        }
         bucket.start_granting(now);
         bucket.owned = role == BucketRole::Owner || in_handover_grace;
         let share = if bucket.owned { terms.share } else { terms.share * STANDBY_SHARE };
@@ -250,6 +274,10 @@
         Bucket {
             level,
             refilled_at,
+            usage: WindowUsage::default(),
+            counted_since: Some(refilled_at),
+            window_limit: None,
+            refused_units: 0.0,
             owned: false,
             granting_since: None,
             last_used_at: refilled_at,
@@ -257,6 +285,26 @@
         }
     }
 
+    fn from_level(level: &BucketLevel, now: Instant) -> Bucket {
+        let age = |(age_ms, units): &(u32, f32)| {
+            (Duration::from_millis((*age_ms).into()), f64::from(*units))
+        };
+        let granted: Vec<(Duration, f64)> = level.granted_by_age_ms.iter().map(age).collect();
+        Bucket {
+            usage: WindowUsage::from_ages(&granted, now),
+            counted_since: None,
+            ..Bucket::new(level.units, now)
+        }
+    }
+
+    fn to_level(&self, customer: CustomerId, now: Instant) -> BucketLevel {
+        let in_milliseconds = |(age, units): (Duration, f64)| {
+            (u32::try_from(age.as_millis()).unwrap_or(u32::MAX), units as f32)
+        };
+        let granted_by_age_ms = self.usage.ages(now).into_iter().map(in_milliseconds).collect();
+        BucketLevel { customer, units: self.level, granted_by_age_ms }
+    }
+
     /// Whether the level is known: that of an expired replica is not.
     fn is_current(&self, now: Instant) -> bool {
         self.owned || now.saturating_duration_since(self.refilled_at) < REPLICA_LIFETIME
@@ -276,32 +324,86 @@
     }
 
     fn grant(&mut self, request: CreditRequest, terms: BucketTerms, now: Instant) -> CreditReply {
-        let BucketTerms { allowance, tolerance, share, gateway_count } = terms;
-        self.refill(allowance, share, now);
+        let BucketTerms { allowance, tolerance, gateway_count, .. } = terms;
+        let limit = window_limit(allowance, tolerance);
+        self.refill(terms, limit, now);
         let granting_time = now.saturating_duration_since(self.granting_since.unwrap_or(now));
         let even_share = allowance.per_second / gateway_count.max(1) as f64;
-        self.level -= request.unreported.min(even_share * granting_time.as_secs_f64());
+        self.deduct(
+            request.unreported.min(even_share * granting_time.as_secs_f64()),
+            tolerance.window,
+            now,
+        );
         self.last_used_at = now;
+        let used = self.usage.total(tolerance.window, now);
+        let available = self.level.min(limit - used);
         let overdraft = tolerance.slack * OVERDRAFT_SHARE;
         let needed = request.needed.min(allowance.burst);
-        if self.level <= 0.0 || self.level + overdraft < needed {
-            let missing = (needed - overdraft).max(0.0) - self.level;
-            let per_second = (allowance.per_second * share).max(1.0);
-            return CreditReply::Exhausted(Duration::from_secs_f64(missing.max(0.0) / per_second));
+        if available <= 0.0 || available + overdraft < needed {
+            let missing = (needed - overdraft).max(0.0);
+            return self.refuse(request.needed, missing, limit - used, terms, now);
         }
-        let prefetch_units = if self.level > allowance.burst * MIN_FILL_FOR_PREFETCH {
+        let prefetch_units = if available > allowance.burst * MIN_FILL_FOR_PREFETCH {
             request.prefetch.min(allowance.burst * MAX_PREFETCH_SHARE)
         } else {
             0.0
         };
-        self.level -= request.needed + prefetch_units;
+        self.deduct(request.needed + prefetch_units, tolerance.window, now);
         CreditReply::Granted(request.needed + prefetch_units)
     }
 
-    fn refill(&mut self, allowance: Allowance, share: f64, now: Instant) {
+    fn deduct(&mut self, units: f64, window: Duration, now: Instant) {
+        self.level -= units;
+        if units > 0.0 {
+            self.usage.record(units, window, now);
+        }
+    }
+
+    /// Refuses a request. Its caller is told to come back after the requests that were refused
+    /// before it, so that those who return do not all find the bucket empty again.
+    fn refuse(
+        &mut self,
+        units: f64,
+        missing_units: f64,
+        window_room: f64,
+        terms: BucketTerms,
+        now: Instant,
+    ) -> CreditReply {
+        let per_second = (terms.allowance.per_second * terms.share).max(1.0);
+        let refill_wait =
+            Duration::from_secs_f64((missing_units - self.level).max(0.0) / per_second);
+        let window_wait =
+            self.usage.time_until_freed(missing_units - window_room, terms.tolerance.window, now);
+        let exhausted_for = refill_wait.max(window_wait);
+        let queue_wait = Duration::from_secs_f64(self.refused_units / per_second);
+        self.refused_units += units;
+        CreditReply::Exhausted { exhausted_for, retry_after: exhausted_for + queue_wait }
+    }
+
+    fn refill(&mut self, terms: BucketTerms, window_limit: f64, now: Instant) {
+        let BucketTerms { allowance, tolerance, share, .. } = terms;
+        if let Some(previous) = self.window_limit.replace(window_limit)
+            && window_limit < previous
+        {
+            self.usage.scale(window_limit / previous);
+        }
         let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
-        let gained = elapsed * allowance.per_second * REFILL_FACTOR * share;
-        self.level = (self.level + gained).min(allowance.burst);
+        let is_counted = self
+            .counted_since
+            .is_none_or(|since| now.saturating_duration_since(since) >= tolerance.window);
+        let per_second = if is_counted {
+            window_limit / tolerance.window.as_secs_f64().max(f64::MIN_POSITIVE)
+        } else {
+            allowance.per_second
+        };
+        // The gateways that cannot be reached grant the rest of the allowance by themselves.
+        let granted_elsewhere = elapsed * allowance.per_second * (1.0 - share);
+        if granted_elsewhere > 0.0 {
+            self.usage.record(granted_elsewhere, tolerance.window, now);
+        }
+        let capacity = allowance.burst + tolerance.slack * CAPACITY_SLACK_SHARE;
+        self.level = (self.level + elapsed * per_second * share).min(capacity);
+        self.refused_units = (self.refused_units - elapsed * allowance.per_second * share).max(0.0);
         self.refilled_at = now;
     }
 }
--- a/components/gateway/src/allowance/local_credit.rs
+++ b/components/gateway/src/allowance/local_credit.rs
@@ -12,12 +12,20 @@
 /// Period of demand for which credit is prefetched.
 const PREFETCH_PERIOD: Duration = Duration::from_millis(300);
 
+/// Number of further requests that prefetched credit must be expected to cover. Credit that is not
+/// used within its lifetime is lost to the customer, which with many gateways and few requests at
+/// each would be most of it.
+const MIN_PREFETCHED_REQUESTS: f64 = 2.0;
+
 /// Time constant of the moving average of demand.
 const DEMAND_AVERAGING_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Minimum time for which the owner of an exhausted bucket is not asked again.
 const MIN_EXHAUSTED_TIME: Duration = Duration::from_millis(20);
 
+/// Maximum time for which it is not asked again: a smaller request may be granted sooner.
+const MAX_EXHAUSTED_TIME: Duration = Duration::from_millis(100);
+
 /// Units that a gateway without contact to the owner may grant at once, as a period of its even
 /// share of the allowance. If a third of the gateways grant this much while the owner still counts
 /// them as reachable, the total stays within what the operators tolerate.
@@ -36,6 +44,8 @@
     demand_per_second: f64,
     demand_at: Instant,
     exhausted_until: Option<Instant>,
+    /// Time at which callers that are refused until then should come back.
+    retry_at: Instant,
     /// Units available from the even share.
     even_share: f64,
     even_share_at: Instant,
@@ -78,6 +88,7 @@
             demand_per_second: 0.0,
             demand_at: now,
             exhausted_until: None,
+            retry_at: now,
             even_share: 0.0,
             even_share_at: started_at,
             unreported: 0.0,
@@ -108,13 +119,14 @@
             return Acquisition::Granted;
         }
         if let Some(until) = account.exhausted_until.filter(|until| now < *until) {
-            return Acquisition::Refused(until.saturating_duration_since(now));
+            return Acquisition::Refused(
+                until.max(account.retry_at).saturating_duration_since(now),
+            );
         }
-        let prefetch_units = if account.open_requests == 0 {
-            account.demand_per_second * PREFETCH_PERIOD.as_secs_f64()
-        } else {
-            0.0
-        };
+        let expected_units = account.demand_per_second * PREFETCH_PERIOD.as_secs_f64();
+        let is_worth_prefetching =
+            account.open_requests == 0 && expected_units >= MIN_PREFETCHED_REQUESTS * cost;
+        let prefetch_units = if is_worth_prefetching { expected_units } else { 0.0 };
         account.open_requests += 1;
         let unreported = std::mem::take(&mut account.unreported);
         Acquisition::RequestCredit(CreditRequest {
@@ -141,8 +153,10 @@
                 account.credited_at = now;
                 account.exhausted_until = None;
             }
-            Some(CreditReply::Exhausted(wait)) => {
-                account.exhausted_until = Some(now + wait.max(MIN_EXHAUSTED_TIME))
+            Some(CreditReply::Exhausted { exhausted_for, retry_after }) => {
+                account.exhausted_until =
+                    Some(now + exhausted_for.clamp(MIN_EXHAUSTED_TIME, MAX_EXHAUSTED_TIME));
+                account.retry_at = now + retry_after;
             }
             Some(CreditReply::NotOwner) | None => account.unreported += request.unreported,
         }
--- a/components/gateway/src/allowance/mod.rs
+++ b/components/gateway/src/allowance/mod.rs
@@ -9,6 +9,7 @@
 
 mod bucket_owner;
 mod local_credit;
+mod window_usage;
 
 use std::time::Duration;
 
@@ -56,19 +57,27 @@
 pub enum CreditReply {
     /// Units that the gateway may grant.
     Granted(f64),
-    /// The bucket is empty until this time has passed.
-    Exhausted(Duration),
+    /// The bucket is empty.
+    Exhausted {
+        /// Time until it has refilled enough for this request.
+        exhausted_for: Duration,
+        /// Time after which the caller should try again: callers that were refused before it come
+        /// first.
+        retry_after: Duration,
+    },
     /// This gateway does not own the customer's bucket, or not yet.
     NotOwner,
 }
 
-/// Level of a customer's bucket.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+/// Level of a customer's bucket, and what was granted from it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BucketLevel {
     /// Customer.
     pub customer: CustomerId,
     /// Units in the bucket.
     pub units: f64,
+    /// Units granted in the operators' window, in slices with their age in milliseconds.
+    pub granted_by_age_ms: Vec<(u32, f32)>,
 }
 
 /// Tolerance within which an allowance has to be enforced.
--- a/components/gateway/tests/allowance.rs
+++ b/components/gateway/tests/allowance.rs
@@ -355,6 +355,16 @@
 /// Simulates gateways that together request `demand` units per second, in requests of `size` units.
 /// Returns the units granted in each step.
 fn simulate(gateways: usize, demand: f64, size: f64, faults: Faults) -> Vec<f64> {
+    simulate_varying(gateways, |_| demand, size, faults)
+}
+
+/// The same with the demand at each step.
+fn simulate_varying(
+    gateways: usize,
+    demand_at: impl Fn(usize) -> f64,
+    size: f64,
+    faults: Faults,
+) -> Vec<f64> {
     let mut fleet = Fleet::new(gateways, faults);
     let stagger = |gateway| size * gateway as f64 / gateways as f64;
     let mut pending: Vec<f64> = (0..gateways).map(stagger).collect();
@@ -367,7 +377,7 @@
         fleet.expire_pending();
         fleet.retransmit_requests();
         for (gateway, pending) in pending.iter_mut().enumerate() {
-            *pending += demand / gateways as f64 * STEP.as_secs_f64();
+            *pending += demand_at(step) / gateways as f64 * STEP.as_secs_f64();
             while *pending >= size {
                 *pending -= size;
                 fleet.submit_request(gateway, size);
@@ -379,6 +389,19 @@
     granted
 }
 
+/// Requests credit until the bucket refuses; returns the units that were granted.
+fn drain(bucket_owner: &mut BucketOwner, now: Instant) -> f64 {
+    let mut granted = 0.0;
+    for number in 1_000.. {
+        let request = CreditRequest { number, ..request_of(ALLOWANCE.burst * 0.1) };
+        match bucket_owner.handle_request(1, request, terms(1.0), BucketRole::Owner, now) {
+            CreditReply::Granted(units) => granted += units,
+            _ => break,
+        }
+    }
+    granted
+}
+
 fn max_in_a_window(granted: &[f64]) -> f64 {
     let steps = (WINDOW.as_millis() / STEP.as_millis()) as usize;
     granted.windows(steps).map(|window| window.iter().sum()).fold(0.0, f64::max)
@@ -430,6 +453,116 @@
     }
 }
 
+/// Load pattern: a customer that was quiet, so that its bucket is full, sends many times its usual
+/// just before or after the count of the window is lost.
+#[test]
+fn no_window_exceeds_the_bound_when_a_clump_meets_a_fault() {
+    let faults = [
+        Faults { delay: 1, kill_owner: Some((1_200, 300)), ..Faults::default() },
+        Faults { delay: 1, stop_owner: Some((1_200, 300)), ..Faults::default() },
+        Faults { delay: 1, replace_all: Some(1_200), ..Faults::default() },
+        Faults { delay: 1, partition: Some((1_200, 10)), ..Faults::default() },
+        Faults { delay: 1, partition: Some((1_200, 29)), ..Faults::default() },
+        Faults { delay: 1, false_suspicion: Some((1_200, 1_400, 15)), ..Faults::default() },
+    ];
+    for faults in faults {
+        for clump_start in [500, 900, 1_100, 1_180, 1_250] {
+            let demand_at = |step| if step < clump_start { 0.1 } else { 6.0 };
+            let granted = simulate_varying(
+                30,
+                |step| demand_at(step) * ALLOWANCE.per_second,
+                5_000.0,
+                faults,
+            );
+            let max_granted = max_in_a_window(&granted);
+            let case = format!("{faults:?}, clump from step {clump_start}");
+            assert!(max_granted <= bound(), "{case}: {max_granted} of {}", bound());
+        }
+    }
+}
+
+/// Load pattern: demand that clumps. The customer's mean is within its allowance, and each window
+/// too, but single seconds need twice as much.
+#[test]
+fn a_clump_within_the_window_is_not_refused() {
+    for gateways in [1, 6, 30] {
+        let demand_at = |step| if step % 400 < 130 { 2.0 } else { 0.4 };
+        let faults = Faults { delay: 1, ..Faults::default() };
+        let granted = simulate_varying(
+            gateways,
+            |step| demand_at(step) * ALLOWANCE.per_second,
+            5_000.0,
+            faults,
+        );
+        let requested: f64 = (500..STEPS).map(demand_at).sum::<f64>() / (STEPS - 500) as f64;
+        let share = granted_share(&granted);
+        assert!(share >= 0.99 * requested, "{gateways} gateways: {share} of {requested}");
+    }
+}
+
+/// In steady state, a window holds what the operators allow and nothing of their tolerance.
+#[test]
+fn excess_demand_gets_what_the_operators_allow_for_a_window() {
+    let faults = Faults { delay: 1, ..Faults::default() };
+    let granted = simulate(6, 3.0 * ALLOWANCE.per_second, 5_000.0, faults);
+    let allowed = ALLOWANCE.per_second * WINDOW.as_secs_f64() + ALLOWANCE.burst;
+    let max_granted = max_in_a_window(&granted[1_000..]);
+    assert!(max_granted <= allowed * 1.02, "{max_granted} of {allowed}");
+    assert!(granted_share(&granted) >= 1.05, "{}", granted_share(&granted));
+}
+
+/// Callers that are refused one after the other are told to come back one after the other, at the
+/// pace of the refill.
+#[test]
+fn refused_callers_are_told_to_return_one_after_the_other() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(5);
+    let mut bucket_owner = BucketOwner::new(start);
+    drain(&mut bucket_owner, now);
+    let mut retry_after = |number| {
+        let request = CreditRequest { number, ..request_of(ALLOWANCE.per_second * 0.5) };
+        match bucket_owner.handle_request(1, request, terms(1.0), BucketRole::Owner, now) {
+            CreditReply::Exhausted { retry_after, .. } => retry_after.as_secs_f64(),
+            reply => panic!("{reply:?} from an empty bucket"),
+        }
+    };
+    let first = retry_after(1);
+    let second = retry_after(2);
+    let third = retry_after(3);
+    assert!((0.49..0.51).contains(&(second - first)), "{first} {second}");
+    assert!((0.49..0.51).contains(&(third - second)), "{second} {third}");
+}
+
+/// A lowered allowance limits what follows. It does not refuse everything until the use under the
+/// higher one has left the window.
+#[test]
+fn a_lowered_allowance_leaves_its_own_rate() {
+    let start = Instant::now();
+    let mut bucket_owner = BucketOwner::new(start);
+    let mut granted_after = 0.0;
+    for step in 0..2_000_u32 {
+        let now = start + Duration::from_secs(5) + STEP * step;
+        let lowered = step >= 1_000;
+        let factor = if lowered { 0.4 } else { 1.0 };
+        let allowance = Allowance {
+            per_second: ALLOWANCE.per_second * factor,
+            burst: ALLOWANCE.burst * factor,
+            ..ALLOWANCE
+        };
+        let request =
+            CreditRequest { number: step, ..request_of(ALLOWANCE.per_second * STEP.as_secs_f64()) };
+        let terms = BucketTerms { allowance, ..terms(1.0) };
+        let reply = bucket_owner.handle_request(1, request, terms, BucketRole::Owner, now);
+        if let CreditReply::Granted(units) = reply
+            && lowered
+        {
+            granted_after += units;
+        }
+    }
+    let share = granted_after / (ALLOWANCE.per_second * 0.4 * 10.0);
+    assert!((0.9..1.25).contains(&share), "{share}");
+}
+
 #[test]
 fn the_allowance_is_used_in_full_under_excess_demand() {
     for gateways in [1, 4, 6, 30] {
@@ -529,7 +662,7 @@
     bucket_owner.accept_handover(&stale_levels, now);
     let second_request = CreditRequest { number: 2, ..full };
     let reply = bucket_owner.handle_request(1, second_request, terms(1.0), BucketRole::Owner, now);
-    assert!(matches!(reply, CreditReply::Exhausted(_)), "{reply:?}");
+    assert!(matches!(reply, CreditReply::Exhausted { .. }), "{reply:?}");
 }
 
 /// An owner that loses and regains a bucket must not refill it for the time in between, in which
@@ -562,7 +695,7 @@
         BucketRole::Owner,
         later,
     );
-    assert!(matches!(reply, CreditReply::Exhausted(_)), "{reply:?}");
+    assert!(matches!(reply, CreditReply::Exhausted { .. }), "{reply:?}");
 }
 
 /// While processes start, no previous owner grants. Units of the takeover delay must be granted
@@ -599,7 +732,7 @@
     let start = Instant::now();
     let now = start + Duration::from_secs(5);
     let mut bucket_owner = BucketOwner::new(start);
-    bucket_owner.handle_request(1, request_of(ALLOWANCE.burst), terms(1.0), BucketRole::Owner, now);
+    assert!(drain(&mut bucket_owner, now) >= ALLOWANCE.burst);
     let mut standby = BucketOwner::new(start);
     standby.store_replicas(&bucket_owner.active_levels(now), now);
     let mut request_credit = |number, seconds| {
@@ -613,11 +746,11 @@
         )
     };
     assert!(
-        matches!(request_credit(2, 0.6), CreditReply::Exhausted(_)),
+        matches!(request_credit(2, 0.6), CreditReply::Exhausted { .. }),
         "no refill for the time before"
     );
     assert!(
-        matches!(request_credit(3, 1.1), CreditReply::Exhausted(_)),
+        matches!(request_credit(3, 1.1), CreditReply::Exhausted { .. }),
         "refilled by a quarter of a second's allowance"
     );
     assert!(matches!(request_credit(4, 1.5), CreditReply::Granted(_)));
@@ -689,7 +822,7 @@
     };
     assert_eq!(request_credit(1), CreditReply::Granted(ALLOWANCE.burst));
     assert_eq!(request_credit(1), CreditReply::Granted(ALLOWANCE.burst));
-    assert!(matches!(request_credit(2), CreditReply::Exhausted(_)));
+    assert!(matches!(request_credit(2), CreditReply::Exhausted { .. }));
 }
 
 #[test]
