Bound the work of slot decisions and keep plain services busy while messages travel

A release compares the upstream with all 180 for each waiting request. The booking desk has 140 to 300 requests waiting from the first second on at 0.65 of its capacity: a slot counts as occupied for some 65 ms where the work takes 30.

Change: a decision looks at the first 8 waiting requests of each route, keeps the best suitability of each for 25 ms, and computes the order less often the longer the queue is. An upstream of a plain service is assigned up to twice its slots, fewer when it declines.

--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -290,7 +290,8 @@
             String::new()
         };
         info!(
-            "load open={open} connections={connections} pending_slot_requests={pending} brokered_waiting={waiting} upstreams={upstreams}"
+            "load open={open} connections={connections} pending_slot_requests={pending} brokered_waiting={waiting} comparisons={} upstreams={upstreams}",
+            broker.scheduler().comparisons(),
         );
     }
 
--- a/components/gateway/src/scheduler/job.rs
+++ b/components/gateway/src/scheduler/job.rs
@@ -59,6 +59,13 @@
     pub suspect: Vec<UpstreamId>,
 }
 
+impl Job {
+    /// Whether the request is for a plain service rather than an engine.
+    pub fn is_plain(&self) -> bool {
+        self.prompt_tokens == 0 && self.output_tokens == 0
+    }
+}
+
 /// Id of a waiting request.
 pub type WaiterId = u64;
 
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -13,13 +13,14 @@
 mod upstream_state;
 mod value;
 
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::model::{PeerId, ServiceId, Topology, Upstream, UpstreamId};
 use placement::Selection;
-use queue::Queue;
+use queue::{Queue, Waiter};
 use upstream_state::UpstreamState;
 use value::ValueModel;
 
@@ -42,11 +43,15 @@
     upstreams: HashMap<UpstreamId, UpstreamState>,
     by_service: HashMap<ServiceId, Vec<UpstreamId>>,
     slots: HashMap<SlotId, UpstreamId>,
+    /// Services that have been sent requests without a prompt.
+    plain_services: HashSet<ServiceId>,
     queue: Queue,
     value_model: ValueModel,
     /// Upstream and time of each session's last request, by the id of the prompt's last part.
     sessions: HashMap<u64, (UpstreamId, Instant)>,
     last_slot_id: SlotId,
+    /// Number of comparisons of an upstream with a request.
+    comparisons: Cell<u64>,
 }
 
 impl Scheduler {
@@ -57,10 +62,12 @@
             upstreams: HashMap::new(),
             by_service: HashMap::new(),
             slots: HashMap::new(),
+            plain_services: HashSet::new(),
             queue: Queue::default(),
             value_model: ValueModel::default(),
             sessions: HashMap::new(),
             last_slot_id: 0,
+            comparisons: Cell::new(0),
         }
     }
 
@@ -81,6 +88,15 @@
                 }
             }
         }
+        for service in &self.plain_services {
+            Self::allow_extra_slots(&self.by_service, &mut self.upstreams, *service);
+        }
+    }
+
+    /// Number of comparisons of an upstream with a request since the start, a measure of the work
+    /// of the decisions.
+    pub fn comparisons(&self) -> u64 {
+        self.comparisons.get()
     }
 
     /// Requests in flight and total slots of a service's upstreams.
@@ -130,6 +146,9 @@
             });
         }
         self.value_model.record_size(&job);
+        if job.is_plain() && self.plain_services.insert(job.service) {
+            Self::allow_extra_slots(&self.by_service, &mut self.upstreams, job.service);
+        }
         let ahead = self.queue.count_ahead(&job, &self.value_model, now);
         if let Selection::Upstream(upstream) = self.select_upstream(&job, now)
             && !self.is_best_for_any_ahead(upstream, &job, ahead, now)
@@ -147,6 +166,18 @@
         Submission::Queued(self.queue.push(job, &self.value_model, now))
     }
 
+    fn allow_extra_slots(
+        by_service: &HashMap<ServiceId, Vec<UpstreamId>>,
+        upstreams: &mut HashMap<UpstreamId, UpstreamState>,
+        service: ServiceId,
+    ) {
+        for upstream in by_service.get(&service).into_iter().flatten() {
+            if let Some(state) = upstreams.get_mut(upstream) {
+                state.allow_extra_slots();
+            }
+        }
+    }
+
     /// Whether `upstream` is the best choice for any of the `ahead` waiting requests that are
     /// served before `job`.
     fn is_best_for_any_ahead(
@@ -157,8 +188,7 @@
         now: Instant,
     ) -> bool {
         let Some(state) = self.upstreams.get(&upstream) else { return false };
-        let is_match =
-            |other: &Job| self.may_use(state, other, now) && self.is_best_choice(state, other, now);
+        let is_match = |waiter: &Waiter| self.is_best_choice(state, waiter, now);
         self.queue.any_ahead(job.service, ahead, &self.value_model, now, is_match)
     }
 
@@ -179,14 +209,20 @@
     }
 
     fn assign_waiting(&mut self, service: ServiceId, now: Instant, wakeups: &mut Vec<Wakeup>) {
-        for waiter in self.queue.ordered(service, &self.value_model, now) {
-            let Some(job) = self.queue.job(waiter) else { continue };
-            match self.select_upstream(job, now) {
-                Selection::Upstream(upstream) => {
-                    wakeups.extend(self.assign_waiter(waiter, upstream, now))
+        loop {
+            let assigned_before = wakeups.len();
+            for waiter in self.queue.head(service, &self.value_model, now) {
+                let Some(job) = self.queue.job(waiter) else { continue };
+                match self.select_upstream(job, now) {
+                    Selection::Upstream(upstream) => {
+                        wakeups.extend(self.assign_waiter(waiter, upstream, now))
+                    }
+                    Selection::AllFull if job.excluded.is_empty() => return,
+                    Selection::AllFull | Selection::NoneSuitable => {}
                 }
-                Selection::AllFull if job.excluded.is_empty() => return,
-                Selection::AllFull | Selection::NoneSuitable => {}
+            }
+            if wakeups.len() == assigned_before {
+                return;
             }
         }
     }
@@ -250,8 +286,7 @@
             return None;
         }
         let service = ServiceId::of(&state.upstream.service);
-        let is_match =
-            |job: &Job| self.may_use(state, job, now) && self.is_best_choice(state, job, now);
+        let is_match = |waiter: &Waiter| self.is_best_choice(state, waiter, now);
         self.queue.first_matching(service, &self.value_model, now, is_match)
     }
 
--- a/components/gateway/src/scheduler/placement.rs
+++ b/components/gateway/src/scheduler/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::queue::Waiter;
 use super::speed::milliseconds;
 use super::upstream_state::UpstreamState;
 use super::{Job, Scheduler};
@@ -34,6 +35,10 @@
 /// too.
 const BASE_SCORE_MS: f64 = 10.0;
 
+/// Time for which the suitability of the most suitable upstream is kept for a waiting request. It
+/// changes as prompts are prefilled, over some tens of milliseconds.
+const MAX_BEST_SUITABILITY_AGE: Duration = Duration::from_millis(25);
+
 /// Result of the selection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Selection {
@@ -60,6 +65,16 @@
     misses_objective: bool,
 }
 
+impl Suitability {
+    /// Suitability of an upstream that has every flaw.
+    const LEAST: Suitability = Suitability {
+        suspect: true,
+        misses_deadline: true,
+        stalls_streams: true,
+        misses_objective: true,
+    };
+}
+
 impl Scheduler {
     /// Selects, among the most suitable upstreams, the one with a free slot and the lowest score.
     /// Fully occupied upstreams are compared as well: a request waits for one of them rather than
@@ -91,10 +106,32 @@
         }
     }
 
-    /// Whether no other upstream is more suitable for a request.
-    pub(super) fn is_best_choice(&self, state: &UpstreamState, job: &Job, now: Instant) -> bool {
-        let suitability_here = suitability(state, job, now);
-        self.candidates(job, now).all(|other| suitability_here <= suitability(other, job, now))
+    /// Whether an upstream has a free slot for a waiting request, and no other upstream is more
+    /// suitable.
+    pub(super) fn is_best_choice(
+        &self,
+        state: &UpstreamState,
+        waiter: &Waiter,
+        now: Instant,
+    ) -> bool {
+        let job = &waiter.job;
+        self.may_use(state, job, now)
+            && suitability(state, job, now) <= self.best_suitability(waiter, now)
+    }
+
+    /// Suitability of the most suitable upstream for a waiting request, at most
+    /// `MAX_BEST_SUITABILITY_AGE` old.
+    fn best_suitability(&self, waiter: &Waiter, now: Instant) -> Suitability {
+        if let Some((best, computed_at)) = waiter.best_suitability.get()
+            && now.saturating_duration_since(computed_at) < MAX_BEST_SUITABILITY_AGE
+        {
+            return best;
+        }
+        let job = &waiter.job;
+        let of_candidates = self.candidates(job, now).map(|other| suitability(other, job, now));
+        let best = of_candidates.min().unwrap_or(Suitability::LEAST);
+        waiter.best_suitability.set(Some((best, now)));
+        best
     }
 
     /// Whether a request may be sent to an upstream.
@@ -109,7 +146,9 @@
     ) -> impl Iterator<Item = &'a UpstreamState> {
         let of_service = self.by_service.get(&job.service).into_iter().flatten();
         let states = of_service.filter_map(|upstream| self.upstreams.get(upstream));
-        states.filter(move |state| self.may_use(state, job, now))
+        let count_comparison =
+            |_: &&UpstreamState| self.comparisons.set(self.comparisons.get() + 1);
+        states.inspect(count_comparison).filter(move |state| self.may_use(state, job, now))
     }
 
     fn score_ms(&self, state: &UpstreamState, job: &Job, now: Instant) -> f64 {
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -1,12 +1,18 @@
 //! Queues of requests that wait for a slot, one for each service.
+//!
+//! Load pattern: a burst longer than the latency objectives, with more than a thousand requests
+//! waiting for the upstreams of one service. A decision then looks at the first requests of each
+//! route only, and the order is computed less often, so that the broker's work for each request
+//! does not grow with its queue.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use super::value::{FairnessClass, ValueModel};
-use super::{Job, Priority, WaiterId};
+use super::placement::Suitability;
+use super::value::{FairnessClass, FairnessGroup, ValueModel};
+use super::{Job, Priority, RouteId, WaiterId};
 use crate::model::ServiceId;
 
 /// Time constant of the moving average of the placement rate, from which waits are estimated.
@@ -21,8 +27,17 @@
 /// Number of requests at the head of a queue that are never rejected as unplaceable.
 const PROTECTED_HEAD_LENGTH: usize = 3;
 
-/// Age after which the order of a queue is computed again, since values change over time.
-const MAX_ORDER_AGE: Duration = Duration::from_millis(20);
+/// Age after which the order of a short queue is computed again, since values change over time.
+const MIN_ORDER_AGE: Duration = Duration::from_millis(20);
+
+/// Number of waiting requests for each of which that age grows by itself: the work of computing the
+/// order stays the same share of the time.
+const WAITING_PER_ORDER_AGE: u32 = 100;
+
+/// Number of waiting requests of each route that a decision looks at, from the head of the order.
+/// Requests of one route are alike, so an upstream that suits none of the first ones hardly suits
+/// the next.
+const CONSIDERED_PER_ROUTE: usize = 8;
 
 #[derive(Debug, Default)]
 pub(super) struct Queue {
@@ -33,17 +48,56 @@
 
 #[derive(Debug, Default)]
 struct ServiceQueue {
-    waiting: HashMap<WaiterId, Job>,
+    waiting: HashMap<WaiterId, Waiter>,
     priorities: BTreeMap<Priority, usize>,
     order: RefCell<CachedOrder>,
     placement_rate: Option<PlacementRate>,
 }
 
-/// Order of the waiting requests, cached for `MAX_ORDER_AGE`.
+/// A waiting request.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub(super) job: Job,
+    /// Suitability of the most suitable upstream, and when it was computed.
+    pub(super) best_suitability: Cell<Option<(Suitability, Instant)>>,
+}
+
+/// Order of the waiting requests, cached for a time that depends on their number.
 #[derive(Debug, Default)]
 struct CachedOrder {
     computed_at: Option<Instant>,
-    waiters: Vec<(OrderKey, WaiterId)>,
+    waiters: Vec<OrderedWaiter>,
+}
+
+/// Position of a waiting request in the order.
+#[derive(Debug, Clone, Copy)]
+struct OrderedWaiter {
+    key: OrderKey,
+    route: RouteId,
+    id: WaiterId,
+}
+
+/// The first `CONSIDERED_PER_ROUTE` requests of each route, in their order.
+fn head_of_each_route(
+    order: &[OrderedWaiter],
+    waiting: &HashMap<WaiterId, Waiter>,
+) -> Vec<WaiterId> {
+    let mut considered: Vec<(RouteId, usize)> = Vec::new();
+    let mut head = Vec::new();
+    for OrderedWaiter { route, id, .. } in order {
+        let position = match considered.iter().position(|(other, _)| other == route) {
+            Some(position) => position,
+            None => {
+                considered.push((*route, 0));
+                considered.len() - 1
+            }
+        };
+        if considered[position].1 < CONSIDERED_PER_ROUTE && waiting.contains_key(id) {
+            considered[position].1 += 1;
+            head.push(*id);
+        }
+    }
+    head
 }
 
 /// Sort key of a waiting request; the lowest is served first.
@@ -81,13 +135,13 @@
         *self.priorities.entry(job.priority).or_default() += 1;
         let key = self.order_key(&job, value_model, now);
         let order = self.order.get_mut();
-        let position = order.waiters.partition_point(|(other, _)| other.compare(&key).is_le());
-        order.waiters.insert(position, (key, id));
-        self.waiting.insert(id, job);
+        let position = order.waiters.partition_point(|other| other.key.compare(&key).is_le());
+        order.waiters.insert(position, OrderedWaiter { key, route: job.route, id });
+        self.waiting.insert(id, Waiter { job, best_suitability: Cell::new(None) });
     }
 
     fn remove(&mut self, id: WaiterId) -> Option<Job> {
-        let job = self.waiting.remove(&id)?;
+        let job = self.waiting.remove(&id)?.job;
         if let Some(count) = self.priorities.get_mut(&job.priority) {
             *count -= 1;
             if *count == 0 {
@@ -114,21 +168,31 @@
         OrderKey { fairness_class, value_density: value_model.value_density(job, now) }
     }
 
-    /// Calls `visit` with the ordered ids, some of which may have been removed since the order was
+    /// Calls `visit` with the order. Some of its requests may have been removed since it was
     /// computed.
     fn with_order<T>(
         &self,
         value_model: &ValueModel,
         now: Instant,
-        visit: impl FnOnce(&[(OrderKey, WaiterId)]) -> T,
+        visit: impl FnOnce(&[OrderedWaiter]) -> T,
     ) -> T {
         let mut order = self.order.borrow_mut();
-        let is_fresh = |at| now.saturating_duration_since(at) < MAX_ORDER_AGE;
+        let max_age = MIN_ORDER_AGE * (1 + self.waiting.len() as u32 / WAITING_PER_ORDER_AGE);
+        let is_fresh = |at| now.saturating_duration_since(at) < max_age;
         if !order.computed_at.is_some_and(is_fresh) {
-            let keyed = |(id, job): (&WaiterId, &Job)| (self.order_key(job, value_model, now), *id);
+            let mut fairness_classes: HashMap<FairnessGroup, FairnessClass> = HashMap::new();
+            let ordered = |(id, waiter): (&WaiterId, &Waiter)| {
+                let job = &waiter.job;
+                let fairness_class = *fairness_classes
+                    .entry(value_model.fairness_group(job))
+                    .or_insert_with(|| value_model.fairness_class(job, self.priorities.keys()));
+                let value_density = value_model.value_density(job, now);
+                let key = OrderKey { fairness_class, value_density };
+                OrderedWaiter { key, route: job.route, id: *id }
+            };
             order.waiters.clear();
-            order.waiters.extend(self.waiting.iter().map(keyed));
-            order.waiters.sort_unstable_by(|a, b| a.0.compare(&b.0).then(a.1.cmp(&b.1)));
+            order.waiters.extend(self.waiting.iter().map(ordered));
+            order.waiters.sort_unstable_by(|a, b| a.key.compare(&b.key).then(a.id.cmp(&b.id)));
             order.computed_at = Some(now);
         }
         visit(&order.waiters)
@@ -140,7 +204,7 @@
         }
         let key = self.order_key(job, value_model, now);
         self.with_order(value_model, now, |order| {
-            order.partition_point(|(order_key, _)| order_key.compare(&key).is_le())
+            order.partition_point(|other| other.key.compare(&key).is_le())
         })
     }
 }
@@ -164,7 +228,8 @@
     }
 
     pub(super) fn job(&self, waiter: WaiterId) -> Option<&Job> {
-        self.services.get(self.service_by_waiter.get(&waiter)?)?.waiting.get(&waiter)
+        let service_queue = self.services.get(self.service_by_waiter.get(&waiter)?)?;
+        service_queue.waiting.get(&waiter).map(|waiter| &waiter.job)
     }
 
     /// Services with waiting requests.
@@ -200,7 +265,7 @@
     /// Requests whose queue deadline has passed.
     pub(super) fn overdue(&self, now: Instant) -> Vec<WaiterId> {
         let waiting = self.services.values().flat_map(|service_queue| &service_queue.waiting);
-        let overdue = waiting.filter(|(_, job)| now >= job.queue_deadline);
+        let overdue = waiting.filter(|(_, waiter)| now >= waiter.job.queue_deadline);
         overdue.map(|(id, _)| *id).collect()
     }
 
@@ -214,9 +279,9 @@
     ) -> Vec<WaiterId> {
         let Some(service_queue) = self.services.get(&service) else { return Vec::new() };
         let is_unplaceable = |position: usize, waiter: &WaiterId| {
-            let job = service_queue.waiting.get(waiter);
+            let waiter = service_queue.waiting.get(waiter);
             let wait = service_queue.expected_wait_at(position, now);
-            job.is_some_and(|job| now + wait > job.queue_deadline)
+            waiter.is_some_and(|waiter| now + wait > waiter.job.queue_deadline)
         };
         let order = self
             .ordered(service, value_model, now)
@@ -237,40 +302,54 @@
         let Some(service_queue) = self.services.get(&service) else { return Vec::new() };
         let waits = |waiter: &WaiterId| service_queue.waiting.contains_key(waiter);
         service_queue.with_order(value_model, now, |order| {
-            order.iter().map(|(_, waiter)| *waiter).filter(waits).collect()
+            order.iter().map(|waiter| waiter.id).filter(waits).collect()
         })
     }
 
-    /// Whether any of the first `count` waiting requests of a service satisfies `is_match`.
+    /// The waiting requests of a service that a decision looks at, in the order in which they are
+    /// to be served.
+    pub(super) fn head(
+        &self,
+        service: ServiceId,
+        value_model: &ValueModel,
+        now: Instant,
+    ) -> Vec<WaiterId> {
+        let Some(service_queue) = self.services.get(&service) else { return Vec::new() };
+        service_queue
+            .with_order(value_model, now, |order| head_of_each_route(order, &service_queue.waiting))
+    }
+
+    /// Whether any of the first `count` waiting requests of a service satisfies `is_match`, among
+    /// those that a decision looks at.
     pub(super) fn any_ahead(
         &self,
         service: ServiceId,
         count: usize,
         value_model: &ValueModel,
         now: Instant,
-        is_match: impl Fn(&Job) -> bool,
+        is_match: impl Fn(&Waiter) -> bool,
     ) -> bool {
         let Some(service_queue) = self.services.get(&service).filter(|_| count > 0) else {
             return false;
         };
-        let is_match = |waiter: &WaiterId| service_queue.waiting.get(waiter).is_some_and(&is_match);
+        let waiting = &service_queue.waiting;
         service_queue.with_order(value_model, now, |order| {
-            order.iter().take(count).any(|(_, waiter)| is_match(waiter))
+            let ahead = head_of_each_route(&order[..count.min(order.len())], waiting);
+            ahead.iter().filter_map(|id| waiting.get(id)).any(is_match)
         })
     }
 
-    /// First waiting request of a service that satisfies `is_match`.
+    /// First waiting request of a service that satisfies `is_match`, among those that a decision
+    /// looks at.
     pub(super) fn first_matching(
         &self,
         service: ServiceId,
         value_model: &ValueModel,
         now: Instant,
-        is_match: impl Fn(&Job) -> bool,
+        is_match: impl Fn(&Waiter) -> bool,
     ) -> Option<WaiterId> {
         let service_queue = self.services.get(&service)?;
-        let is_match = |waiter: &WaiterId| service_queue.waiting.get(waiter).is_some_and(&is_match);
-        service_queue.with_order(value_model, now, |order| {
-            order.iter().map(|(_, waiter)| *waiter).find(is_match)
-        })
+        let is_match = |id: &WaiterId| service_queue.waiting.get(id).is_some_and(&is_match);
+        self.head(service, value_model, now).into_iter().find(is_match)
     }
 }
--- a/components/gateway/src/scheduler/upstream_state.rs
+++ b/components/gateway/src/scheduler/upstream_state.rs
@@ -25,6 +25,39 @@
 /// Maximum number of doublings of `UNREACHABLE_PAUSE`.
 const MAX_PAUSE_DOUBLINGS: u32 = 2;
 
+/// Requests beyond its slots that an upstream of a plain service is assigned, as a multiple of the
+/// slots. A slot counts as occupied while the messages about it travel between broker, gateway and
+/// upstream, which together takes longer than the upstream needs for a plain request; the upstream
+/// would be idle for that time.
+const PLAIN_EXTRA_SLOTS: u32 = 1;
+
+/// Number of responses after which an upstream that declined extra requests is assigned one more.
+const SERVED_PER_EXTRA_SLOT: u32 = 20;
+
+/// Requests that an upstream of a plain service is assigned beyond its slots. They wait in its own
+/// short queue. An upstream that declines one gets half as many, and more again as it responds.
+#[derive(Debug, Default)]
+struct ExtraSlots {
+    limit: u32,
+    allowed: u32,
+    served: u32,
+}
+
+impl ExtraSlots {
+    fn record_served(&mut self) {
+        self.served += 1;
+        if self.served >= SERVED_PER_EXTRA_SLOT {
+            self.served = 0;
+            self.allowed = (self.allowed + 1).min(self.limit);
+        }
+    }
+
+    fn record_declined(&mut self) {
+        self.served = 0;
+        self.allowed /= 2;
+    }
+}
+
 /// A request that occupies a slot.
 #[derive(Debug)]
 struct InFlight {
@@ -38,6 +71,7 @@
     pub(super) id: UpstreamId,
     pub(super) speed: SpeedEstimate,
     in_flight: HashMap<SlotId, InFlight>,
+    extra_slots: ExtraSlots,
     /// Expected end of the prefill of all assigned requests. It is an estimate: gateways report the
     /// time of a first event only when the response ends.
     prefill_done_at: Instant,
@@ -57,6 +91,7 @@
             upstream,
             speed: SpeedEstimate::default(),
             in_flight: HashMap::new(),
+            extra_slots: ExtraSlots::default(),
             prefill_done_at: now,
             failure_rate: 0.0,
             paused_until: None,
@@ -72,7 +107,15 @@
     }
 
     pub(super) fn has_free_slot(&self) -> bool {
-        self.running() < self.upstream.slots
+        self.running() < self.upstream.slots + self.extra_slots.allowed
+    }
+
+    /// Allows requests beyond the slots, if the upstream belongs to a plain service.
+    pub(super) fn allow_extra_slots(&mut self) {
+        let limit = self.upstream.slots * PLAIN_EXTRA_SLOTS;
+        if self.extra_slots.limit != limit {
+            self.extra_slots = ExtraSlots { limit, allowed: limit, served: 0 };
+        }
     }
 
     /// Whether the upstream may be assigned requests.
@@ -134,11 +177,15 @@
                 self.failure_rate *= FAILURE_RATE_DECAY;
                 self.last_unreachable = None;
                 self.pause_doublings = 0;
+                self.extra_slots.record_served();
             }
             AttemptOutcome::Failed => {
                 self.failure_rate =
                     self.failure_rate * FAILURE_RATE_DECAY + (1.0 - FAILURE_RATE_DECAY);
             }
+            AttemptOutcome::Declined if self.running() >= self.upstream.slots => {
+                self.extra_slots.record_declined();
+            }
             AttemptOutcome::Declined => self.paused_until = Some(now + DECLINED_PAUSE),
             AttemptOutcome::Replaced => self.is_replaced = true,
             AttemptOutcome::Unreachable => self.record_unreachable(gateway, now),
--- a/components/gateway/src/scheduler/value.rs
+++ b/components/gateway/src/scheduler/value.rs
@@ -105,6 +105,14 @@
     Throttled,
 }
 
+/// Requests of one group have the same fairness class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct FairnessGroup {
+    priority: Priority,
+    route: RouteId,
+    size_class: SizeClass,
+}
+
 /// Statistics that determine values and fairness classes: mean request size of each route, and
 /// served ratio of each priority and size class.
 #[derive(Debug, Default)]
@@ -172,6 +180,12 @@
         (weighted_value + BASE_VALUE) * lateness_factor / cost(job)
     }
 
+    /// Group of requests that a request shares its fairness class with.
+    pub(super) fn fairness_group(&self, job: &Job) -> FairnessGroup {
+        let size_class = SizeClass::of(request_size(job), self.mean_size(job.route));
+        FairnessGroup { priority: job.priority, route: job.route, size_class }
+    }
+
     /// Fairness class of a request. `waiting` holds the priorities of its service's waiting
     /// requests.
     pub(super) fn fairness_class<'a>(
