List queued slot requests together instead of repeating each

Change: the list of held slots that each gateway sends four times a second also names its queued requests; the broker replies to all of them in one datagram, and repeats a grant that was lost. A request that the broker does not know is sent again.

Test: a_gateway_learns_what_became_of_its_queued_requests.

--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -118,9 +118,16 @@
     Rejected(Rejection),
     /// This gateway is not the broker of the service now.
     NotBroker,
+    /// The broker does not know the slot request: a reply to it, or the request itself, was lost.
+    Unknown,
 }
 
 impl SlotReply {
+    /// Whether a slot is assigned.
+    pub fn is_granted(&self) -> bool {
+        matches!(self, SlotReply::Granted { .. })
+    }
+
     /// Name for the metrics label.
     pub fn name(&self) -> &'static str {
         match self {
@@ -128,6 +135,7 @@
             SlotReply::Queued => "queued",
             SlotReply::Rejected(_) => "refused",
             SlotReply::NotBroker => "not_here",
+            SlotReply::Unknown => "unknown",
         }
     }
 }
@@ -164,12 +172,14 @@
         /// Observation of the upstream.
         observation: Observation,
     },
-    /// List of all slots that a gateway holds.
+    /// List of all slots that a gateway holds, and of its requests in the broker's queue.
     HeldSlots {
         /// Gateway that holds the slots.
         from: PeerId,
         /// Slot requests that hold a slot, with the upstream of the slot.
         slots: Vec<(SlotRequestId, UpstreamId)>,
+        /// Slot requests that the broker has queued.
+        queued: Vec<SlotRequestId>,
     },
     /// A gateway requests credit from the owner of a customer's bucket.
     CreditRequest {
@@ -196,6 +206,13 @@
         /// Whether the buckets are handed over; otherwise these are replicas for the standby.
         handed_over: bool,
     },
+    /// A broker replies to the list of a gateway's queued slot requests.
+    SlotReplies {
+        /// Broker.
+        from: PeerId,
+        /// Replies by the id of the slot request.
+        replies: Vec<(SlotRequestId, SlotReply)>,
+    },
 }
 
 /// A datagram that could not be encoded or decoded.
@@ -231,7 +248,8 @@
             | Message::HeldSlots { from, .. }
             | Message::CreditRequest { from, .. }
             | Message::CreditReply { from, .. }
-            | Message::BucketLevels { from, .. } => *from,
+            | Message::BucketLevels { from, .. }
+            | Message::SlotReplies { from, .. } => *from,
         }
     }
 }
--- a/components/gateway/src/broker/mod.rs
+++ b/components/gateway/src/broker/mod.rs
@@ -6,6 +6,9 @@
 //! from the member list. It has the only queue, knows all requests in flight and learns the speed
 //! of each upstream. It is not on the data path of requests: a gateway that cannot reach it asks
 //! the next one in the ranking, which knows the held slots from the lists that gateways send.
+//!
+//! Load pattern: more than a thousand requests of a hundred gateways wait at one broker. A gateway
+//! does not repeat the request of each, but lists them together, and the broker replies together.
 
 mod election;
 mod message;
@@ -181,6 +184,24 @@
         self.release_abandoned(&lost, now)
     }
 
+    /// Replies to the list of queued slot requests that a gateway sent. A gateway that has lost a
+    /// reply gets it again.
+    pub fn review_queued(
+        &self,
+        from: PeerId,
+        queued: &[SlotRequestId],
+    ) -> Vec<(SlotRequestId, SlotReply)> {
+        let reply = |request_id: &SlotRequestId| {
+            let request = (from, *request_id);
+            match self.held.get(&request) {
+                Some(held) => SlotReply::Granted { upstream: held.upstream },
+                None if self.waiter_by_request.contains_key(&request) => SlotReply::Queued,
+                None => SlotReply::Unknown,
+            }
+        };
+        queued.iter().map(|request_id| (*request_id, reply(request_id))).collect()
+    }
+
     fn release_abandoned(&mut self, requests: &[RequestKey], now: Instant) -> Vec<AddressedReply> {
         let abandoned = Observation::outcome_only(AttemptOutcome::Abandoned);
         requests.iter().flat_map(|request| self.release_slot(*request, abandoned, now)).collect()
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -109,6 +109,11 @@
             Message::SlotRequest { .. } | Message::Release { .. } | Message::HeldSlots { .. } => {
                 self.handle_broker_message(zone, message);
             }
+            Message::SlotReplies { from, replies } => {
+                for (request_id, reply) in replies {
+                    self.handle_slot_reply(from, request_id, reply);
+                }
+            }
             Message::CreditRequest { from, request } => self.handle_credit_request(from, request),
             Message::CreditReply { number, reply, .. } => self.handle_credit_reply(number, reply),
             Message::BucketLevels { levels, handed_over, .. } => {
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -11,7 +11,7 @@
 
 use super::peer_socket::RETRANSMIT_INTERVAL;
 use super::slot_guard::SlotGuard;
-use super::state::{Shared, SharedRef};
+use super::state::{AwaitedReply, Shared, SharedRef};
 use crate::broker::{
     AddressedReply, ElectionKey, Message, SlotReply, SlotRequestId, WireJob, rank_candidates,
 };
@@ -23,11 +23,9 @@
 /// a fraction of the shortest latency objective.
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(130);
 
-/// Retransmission interval while a request waits in a broker's queue.
-const RETRANSMIT_INTERVAL_QUEUED: Duration = Duration::from_millis(200);
-
-/// Time without a reply to a queued request after which its broker counts as unavailable.
-const QUEUED_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without a reply to a queued request after which its broker counts as unavailable: that of
+/// two lists of queued requests, and the replies to them.
+const QUEUED_REPLY_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time after a request's queue deadline within which its broker's rejection may still arrive.
 const REJECTION_TRANSIT_TIME: Duration = Duration::from_millis(300);
@@ -95,8 +93,9 @@
     let (mut last_reply_at, mut queued) = (requested_at, false);
     shared.send_slot_request(broker, pending.request_id, job);
     loop {
+        // The gateway's periodic list repeats queued requests.
         let (retransmit_interval, reply_timeout) = if queued {
-            (RETRANSMIT_INTERVAL_QUEUED, QUEUED_REPLY_TIMEOUT)
+            (QUEUED_REPLY_TIMEOUT, QUEUED_REPLY_TIMEOUT)
         } else {
             (RETRANSMIT_INTERVAL, FIRST_REPLY_TIMEOUT)
         };
@@ -106,7 +105,15 @@
             shared.metrics.count_slot_reply(reply.name());
         }
         match reply {
-            Ok(Some(SlotReply::Queued)) => (last_reply_at, queued) = (now, true),
+            Ok(Some(SlotReply::Queued)) => {
+                (last_reply_at, queued) = (now, true);
+                shared.mark_queued(pending.request_id, true);
+            }
+            Ok(Some(SlotReply::Unknown)) => {
+                (last_reply_at, queued) = (now, false);
+                shared.mark_queued(pending.request_id, false);
+                shared.send_slot_request(broker, pending.request_id, job);
+            }
             Ok(Some(SlotReply::Granted { upstream })) => {
                 pending.completed = true;
                 return SlotRequestResult::Granted(pending.request_id, upstream);
@@ -234,7 +241,8 @@
         let request_id = self.last_slot_request_id.get().wrapping_add(1);
         self.last_slot_request_id.set(request_id);
         let (sender, replies) = unbounded_channel();
-        self.pending_slot_requests.borrow_mut().insert(request_id, sender);
+        let awaited = AwaitedReply { broker, queued: false, replies: sender };
+        self.pending_slot_requests.borrow_mut().insert(request_id, awaited);
         PendingSlotRequest { shared: self.clone(), broker, request_id, replies, completed: false }
     }
 
@@ -246,6 +254,20 @@
         );
     }
 
+    fn mark_queued(&self, request_id: SlotRequestId, queued: bool) {
+        if let Some(awaited) = self.pending_slot_requests.borrow_mut().get_mut(&request_id) {
+            awaited.queued = queued;
+        }
+    }
+
+    /// Slot requests that a broker has queued.
+    fn queued_at(&self, broker: PeerId) -> Vec<SlotRequestId> {
+        let pending = self.pending_slot_requests.borrow();
+        let queued =
+            pending.iter().filter(|(_, awaited)| awaited.queued && awaited.broker == broker);
+        queued.map(|(request_id, _)| *request_id).collect()
+    }
+
     /// Tells a broker that a slot is released, or a slot request cancelled.
     pub(super) fn send_release(
         &self,
@@ -284,13 +306,16 @@
         self.send_release(broker, request_id, observation);
     }
 
-    /// Sends the list of slots that this gateway holds to the brokers and their standbys.
+    /// Sends the list of slots that this gateway holds, and of its queued requests, to the brokers
+    /// and their standbys.
     pub(super) fn send_held_slots(&self) {
         let services: Vec<ServiceId> = self.broker.borrow().scheduler().services().collect();
         let mut recipients: Vec<PeerId> = vec![self.process_id];
         for service in services {
             recipients.extend(self.ranked_brokers(service).iter().take(MAX_BROKERS));
         }
+        recipients
+            .extend(self.pending_slot_requests.borrow().values().map(|awaited| awaited.broker));
         recipients.sort_unstable();
         recipients.dedup();
         let slots: Vec<(SlotRequestId, UpstreamId)> = self
@@ -300,10 +325,8 @@
             .map(|(request_id, upstream)| (*request_id, *upstream))
             .collect();
         for to in recipients {
-            self.send_message(
-                to,
-                Message::HeldSlots { from: self.process_id, slots: slots.clone() },
-            );
+            let (slots, queued) = (slots.clone(), self.queued_at(to));
+            self.send_message(to, Message::HeldSlots { from: self.process_id, slots, queued });
         }
     }
 
@@ -318,9 +341,12 @@
         if broker != self.process_id && reply != SlotReply::NotBroker {
             self.peer_health.borrow_mut().record_reply(broker);
         }
-        let sender = self.pending_slot_requests.borrow().get(&request_id).cloned();
-        let granted = matches!(reply, SlotReply::Granted { .. });
-        let delivered = sender.is_some_and(|sender| sender.send(reply).is_ok());
+        let granted = reply.is_granted();
+        let delivered = self
+            .pending_slot_requests
+            .borrow()
+            .get(&request_id)
+            .is_some_and(|awaited| awaited.replies.send(reply).is_ok());
         if granted && !delivered && !self.held_slots.borrow().contains_key(&request_id) {
             self.send_release(
                 broker,
@@ -345,8 +371,24 @@
             Message::Release { from, request_id, observation } => {
                 self.broker.borrow_mut().release(from, request_id, observation, now)
             }
-            Message::HeldSlots { from, slots } => {
-                self.broker.borrow_mut().reconcile_held_slots(from, &slots, now)
+            Message::HeldSlots { from, slots, queued } => {
+                let mut broker = self.broker.borrow_mut();
+                let replies = broker.reconcile_held_slots(from, &slots, now);
+                let mut reviewed = broker.review_queued(from, &queued);
+                drop(broker);
+                if self.is_leaving() && from != self.process_id {
+                    for (_, reply) in reviewed.iter_mut().filter(|(_, reply)| !reply.is_granted()) {
+                        *reply = SlotReply::NotBroker;
+                    }
+                }
+                if !reviewed.is_empty() {
+                    let own_id = self.process_id;
+                    self.send_message(
+                        from,
+                        Message::SlotReplies { from: own_id, replies: reviewed },
+                    );
+                }
+                replies
             }
             _ => Vec::new(),
         };
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -57,6 +57,14 @@
     pub(super) limits: CallerLimits,
 }
 
+/// A slot request whose reply is awaited.
+pub(super) struct AwaitedReply {
+    pub(super) broker: PeerId,
+    /// Whether the broker has queued the request.
+    pub(super) queued: bool,
+    pub(super) replies: UnboundedSender<SlotReply>,
+}
+
 /// The state of the gateway, shared by all tasks of its thread.
 pub(super) struct Shared {
     pub(super) settings: RefCell<Settings>,
@@ -78,7 +86,7 @@
     pub(super) candidate_ids: RefCell<Vec<PeerId>>,
     pub(super) peer_health: RefCell<PeerHealth>,
     /// Requests that wait for a broker's reply or for a slot, by the id of their slot request.
-    pub(super) pending_slot_requests: RefCell<HashMap<SlotRequestId, UnboundedSender<SlotReply>>>,
+    pub(super) pending_slot_requests: RefCell<HashMap<SlotRequestId, AwaitedReply>>,
     pub(super) last_slot_request_id: Cell<SlotRequestId>,
     pub(super) last_digest_sequence: Cell<u32>,
     was_leaving: Cell<bool>,
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -70,10 +70,6 @@
     broker.request_slot(from, Rc::from("a"), request_id, &job(route_tier), now)
 }
 
-fn is_granted(reply: &SlotReply) -> bool {
-    matches!(reply, SlotReply::Granted { .. })
-}
-
 fn acquire_all_slots(
     broker: &mut Broker,
     from: u64,
@@ -99,7 +95,7 @@
     for gateway in 0..30 {
         for request_id in 0..20 {
             granted +=
-                u32::from(is_granted(&request_slot(&mut broker, gateway, request_id, 1, now)));
+                u32::from(request_slot(&mut broker, gateway, request_id, 1, now).is_granted());
         }
     }
     assert_eq!(granted, 20 * SLOTS);
@@ -122,6 +118,27 @@
     assert_eq!(broker.scheduler().waiting_count(), 1);
 }
 
+/// Load pattern: many requests wait at one broker, and datagrams get lost. The list of queued
+/// requests shows a gateway what became of each, without a request being queued twice.
+#[test]
+fn a_gateway_learns_what_became_of_its_queued_requests() {
+    let now = Instant::now();
+    let mut broker = broker(1, now);
+    let held = acquire_all_slots(&mut broker, GATEWAY_A, now);
+    for request_id in [10, 11] {
+        assert_eq!(request_slot(&mut broker, GATEWAY_B, request_id, 1, now), SlotReply::Queued);
+    }
+    let lost_replies = broker.release(GATEWAY_A, held[0].0, SERVED, now);
+    assert_eq!(lost_replies.len(), 1, "one request is assigned the slot");
+    let reviewed = broker.review_queued(GATEWAY_B, &[10, 11, 12]);
+    let granted = reviewed.iter().filter(|(_, reply)| reply.is_granted()).count();
+    let queued = reviewed.iter().filter(|(_, reply)| *reply == SlotReply::Queued).count();
+    assert_eq!((granted, queued), (1, 1), "{reviewed:?}");
+    assert_eq!(reviewed[2], (12, SlotReply::Unknown), "its request was lost");
+    assert_eq!(broker.review_queued(GATEWAY_A, &[10]), [(10, SlotReply::Unknown)]);
+    assert_eq!(broker.scheduler().waiting_count(), 1);
+}
+
 #[test]
 fn a_released_slot_goes_to_the_highest_priority_request_of_all_gateways() {
     let now = Instant::now();
@@ -132,7 +149,7 @@
     let replies = broker.release(GATEWAY_A, 0, SERVED, now);
     let [AddressedReply { to, request_id, reply }] = &replies[..] else { panic!("{replies:?}") };
     assert_eq!((*to, *request_id), (GATEWAY_B, 10));
-    assert!(is_granted(reply));
+    assert!(reply.is_granted());
 }
 
 #[test]
@@ -173,7 +190,7 @@
     let held = acquire_all_slots(&mut broker(1, now), GATEWAY_A, now);
     let mut standby = broker(1, now);
     standby.reconcile_held_slots(GATEWAY_A, &held[..3], now);
-    assert!(is_granted(&request_slot(&mut standby, GATEWAY_B, 10, 1, now)));
+    assert!(request_slot(&mut standby, GATEWAY_B, 10, 1, now).is_granted());
     assert_eq!(request_slot(&mut standby, GATEWAY_B, 11, 1, now), SlotReply::Queued);
     let replies = standby.release(GATEWAY_A, held[0].0, SERVED, now);
     assert!(
@@ -212,7 +229,11 @@
         Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job(1) },
         Message::SlotReply { from: GATEWAY_A, request_id: 3, reply },
         Message::Release { from: GATEWAY_B, request_id: 4, observation: SERVED },
-        Message::HeldSlots { from: GATEWAY_B, slots: vec![(4, UpstreamId(9))] },
+        Message::HeldSlots { from: GATEWAY_B, slots: vec![(4, UpstreamId(9))], queued: vec![7] },
+        Message::SlotReplies {
+            from: GATEWAY_A,
+            replies: vec![(7, SlotReply::Queued), (8, SlotReply::Unknown)],
+        },
         Message::CreditRequest {
             from: GATEWAY_A,
             request: CreditRequest {
