Pass on changes of the store from one gateway of a zone to the others

Cause: after each change of an upstream, a member or the configuration, all gateways of a zone read the store, since their fingerprints differ from that of the first reader.

Change: a gateway that reads changes sends those that matter, undecoded, to the gateways of its zone before its digest. A gateway applies them if they continue where its knowledge of the history ends; otherwise it reads the store as before. A read that peers' changes have overtaken is not applied.

A stream without token counts no longer counts as a request of a plain service (test gateways_share_the_slots_of_an_upstream).

Tests: shared_read (parts, lost parts, parts that are too large), two of end_to_end.

--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -10,6 +10,7 @@
 use crate::model::{PeerId, ServiceId, UpstreamId};
 use crate::peers::Digest;
 use crate::scheduler::{Job, Observation, Priority, Rejection, RouteId};
+use crate::shared_read::SharedRead;
 
 /// Identifies a slot request at the gateway that sent it.
 pub type SlotRequestId = u32;
@@ -30,6 +31,8 @@
     pub output_tokens: u32,
     /// Output tokens in each event.
     pub tokens_per_event: u32,
+    /// Whether the response is a stream of events.
+    pub is_stream: bool,
     /// Id of the last part of the prompt, which all requests of a session share.
     pub session_part: Option<u64>,
     /// Whether the caller makes no further attempt.
@@ -69,6 +72,7 @@
             prompt_tokens: job.prompt_tokens,
             output_tokens: job.output_tokens,
             tokens_per_event: job.tokens_per_event,
+            is_stream: job.is_stream,
             session_part: job.session_part,
             is_last_attempt: job.is_last_attempt,
             waited_ms: to_ms(now.saturating_duration_since(job.arrived)),
@@ -91,6 +95,7 @@
             prompt_tokens: self.prompt_tokens,
             output_tokens: self.output_tokens,
             tokens_per_event: self.tokens_per_event,
+            is_stream: self.is_stream,
             session_part: self.session_part,
             is_last_attempt: self.is_last_attempt,
             arrived: now.checked_sub(from_ms(self.waited_ms)).unwrap_or(now),
@@ -213,6 +218,13 @@
         /// Replies by the id of the slot request.
         replies: Vec<(SlotRequestId, SlotReply)>,
     },
+    /// A gateway passes on what it has read from the store.
+    SharedRead {
+        /// Gateway that read the store.
+        from: PeerId,
+        /// What it read.
+        read: SharedRead,
+    },
 }
 
 /// A datagram that could not be encoded or decoded.
@@ -249,7 +261,8 @@
             | Message::CreditRequest { from, .. }
             | Message::CreditReply { from, .. }
             | Message::BucketLevels { from, .. }
-            | Message::SlotReplies { from, .. } => *from,
+            | Message::SlotReplies { from, .. }
+            | Message::SharedRead { from, .. } => *from,
         }
     }
 }
--- a/components/gateway/src/read_schedule.rs
+++ b/components/gateway/src/read_schedule.rs
@@ -109,6 +109,17 @@
         self.position
     }
 
+    /// Whether a peer's read that covers the store's history from `after` to `position` continues
+    /// where this gateway's knowledge ends.
+    pub fn continues(&self, after: u64, position: u64) -> bool {
+        self.position.is_some_and(|known| known >= after && known < position)
+    }
+
+    /// Records that a peer's read up to `position` was applied.
+    pub fn record_shared_read(&mut self, position: u64) {
+        self.position = self.position.max(Some(position));
+    }
+
     /// Records contact from a gateway that is not in the member list yet.
     pub fn record_unknown_peer(&mut self) {
         self.newer_mismatch = Some(true);
--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -91,6 +91,7 @@
             prompt_tokens: self.metadata.prompt_tokens.unwrap_or(0),
             output_tokens: self.metadata.expected_output_tokens(),
             tokens_per_event: self.tokens_per_event,
+            is_stream: self.route.kind.is_stream(),
             session_part: self.metadata.prompt_parts.last().map(|part| part.id),
             is_last_attempt: self.is_caller_retry(),
             arrived: self.arrived,
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -12,6 +12,7 @@
 use crate::model::{Configuration, Customer, Upstream};
 use crate::peers::{Candidate, Member};
 use crate::routes::RouteTable;
+use crate::shared_read::{SharedRead, SharedReadReceiver};
 use crate::upstream_table::UpstreamTableChange;
 
 impl Directory for Shared {
@@ -67,9 +68,10 @@
         self.read_schedule.borrow().is_due(self.freshness.get().age(uptime), rank, uptime)
     }
 
-    fn upsert_upstream(&self, upstream: Upstream) {
+    fn upsert_upstream(&self, upstream: Upstream) -> bool {
         let change = self.upstream_table.borrow_mut().upsert(upstream);
         self.record_upstream_change(change);
+        change == UpstreamTableChange::Usable
     }
 
     fn remove_upstream(&self, instance: &str) {
@@ -81,6 +83,21 @@
         self.record_upstream_change(change);
     }
 
+    fn share_read(&self, read: SharedRead) {
+        for read in read.split() {
+            self.share_with_zone(read);
+        }
+    }
+
+    fn set_shared_read_receiver(&self, receiver: Rc<dyn SharedReadReceiver>) {
+        *self.shared_read_receiver.borrow_mut() = Some(receiver);
+    }
+
+    fn apply_shared_read(&self, position: u64) {
+        self.apply_upstream_changes();
+        self.read_schedule.borrow_mut().record_shared_read(position);
+    }
+
     fn replace_upstreams(&self, listed: Vec<Upstream>) {
         let change = self.upstream_table.borrow_mut().replace_all(listed, self.clock.now());
         self.record_upstream_change(change);
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -32,6 +32,7 @@
 use crate::header_codec::HeaderCodec;
 use crate::model::{Configuration, Upstream};
 use crate::peers::Member;
+use crate::shared_read::{SharedRead, SharedReadReceiver};
 use state::Shared;
 
 /// Time before the end of the grace period at which a planned stop ends, so that the process can
@@ -68,10 +69,18 @@
     fn known_position(&self) -> Option<u64>;
     /// Whether a read of the store is due.
     fn is_read_due(&self) -> bool;
-    /// Adds or updates an upstream that announced itself.
-    fn upsert_upstream(&self, upstream: Upstream);
+    /// Adds or updates an upstream that announced itself. Returns whether it was not known like
+    /// this before.
+    fn upsert_upstream(&self, upstream: Upstream) -> bool;
     /// Removes an upstream whose announcement is gone from the store.
     fn remove_upstream(&self, instance: &str);
+    /// Passes on what was read from the store to the other gateways of the zone.
+    fn share_read(&self, read: SharedRead);
+    /// Sets the receiver of reads that other gateways of the zone pass on.
+    fn set_shared_read_receiver(&self, receiver: Rc<dyn SharedReadReceiver>);
+    /// Applies the upstream changes of a read that another gateway passed on, and records that the
+    /// state is known up to `position` in the store's history.
+    fn apply_shared_read(&self, position: u64);
     /// Replaces all upstreams by those announced in the store.
     fn replace_upstreams(&self, listed: Vec<Upstream>);
     /// Replaces the members by the gateways registered in the store.
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -15,6 +15,7 @@
 use crate::model::PeerId;
 use crate::peers::Digest;
 use crate::read_schedule::PeerRead;
+use crate::shared_read::SharedRead;
 
 /// Time without a reply after which a request to another gateway is sent again, as datagrams get
 /// lost. A round trip to another region takes half of this interval.
@@ -37,8 +38,8 @@
 /// Maximum number of datagrams read before other tasks run.
 const MAX_DATAGRAMS_PER_READ: usize = 32;
 
-/// Largest datagram that can be received.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+/// Largest datagram that can be received; the largest ones pass on what was read from the store.
+const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
 pub(super) async fn bind(address: SocketAddr) -> Result<UdpSocket> {
     UdpSocket::bind(address).await.with_context(|| format!("{address}: cannot bind UDP socket"))
@@ -114,6 +115,7 @@
                     self.handle_slot_reply(from, request_id, reply);
                 }
             }
+            Message::SharedRead { read, .. } => self.handle_shared_read(read),
             Message::CreditRequest { from, request } => self.handle_credit_request(from, request),
             Message::CreditReply { number, reply, .. } => self.handle_credit_reply(number, reply),
             Message::BucketLevels { levels, handed_over, .. } => {
@@ -150,6 +152,22 @@
         self.send_digest_to(Some(&self.own_zone));
     }
 
+    /// Sends what was read from the store to the gateways of the zone.
+    pub(super) fn share_with_zone(&self, read: SharedRead) {
+        let addresses = self.peers.borrow().addresses(Some(&self.own_zone), self.clock.now());
+        self.send_datagrams(&Message::SharedRead { from: self.process_id, read }, &addresses);
+    }
+
+    /// Applies a read of a peer if it continues where this gateway's knowledge ends. Otherwise this
+    /// gateway reads the store itself once it sees the peer's digest.
+    fn handle_shared_read(&self, read: SharedRead) {
+        let receiver = self.shared_read_receiver.borrow().clone();
+        let continues = self.read_schedule.borrow().continues(read.after, read.position);
+        if let Some(receiver) = receiver.filter(|_| continues) {
+            receiver.receive(read);
+        }
+    }
+
     fn digest(&self, sequence: u32) -> Digest {
         let uptime = self.clock.uptime();
         self.read_schedule.borrow_mut().record_digest_sent(sequence, uptime);
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -28,6 +28,7 @@
 use crate::read_schedule::ReadSchedule;
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
+use crate::shared_read::SharedReadReceiver;
 use crate::upstream_table::UpstreamTable;
 
 /// Timeouts of connections to upstreams. A handshake takes one round trip, tens of milliseconds
@@ -109,6 +110,7 @@
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
     pub(super) read_schedule: RefCell<ReadSchedule>,
+    pub(super) shared_read_receiver: RefCell<Option<Rc<dyn SharedReadReceiver>>>,
     pub(super) upstream_table: RefCell<UpstreamTable>,
     pub(super) members_fingerprint: Cell<u64>,
     /// Whether the usable upstreams have changed since changes were last applied.
@@ -156,6 +158,7 @@
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             read_schedule: RefCell::default(),
+            shared_read_receiver: RefCell::default(),
             upstream_table: RefCell::default(),
             members_fingerprint: Cell::new(0),
             upstreams_changed: Cell::new(false),
--- a/components/gateway/src/scheduler/job.rs
+++ b/components/gateway/src/scheduler/job.rs
@@ -39,6 +39,8 @@
     pub output_tokens: u32,
     /// Output tokens in each event of the stream; 1 for a plain service.
     pub tokens_per_event: u32,
+    /// Whether the response is a stream of events.
+    pub is_stream: bool,
     /// Id of the last part of the prompt, which all requests of a session share.
     pub session_part: Option<u64>,
     /// Whether the caller has been rejected before and will not retry again.
@@ -62,7 +64,7 @@
 impl Job {
     /// Whether the request is for a plain service rather than an engine.
     pub fn is_plain(&self) -> bool {
-        self.prompt_tokens == 0 && self.output_tokens == 0
+        !self.is_stream && self.prompt_tokens == 0
     }
 }
 
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -48,6 +48,7 @@
         prompt_tokens: 600,
         output_tokens: 100,
         tokens_per_event: 8,
+        is_stream: true,
         session_part: None,
         is_last_attempt: false,
         waited_ms: 0,
--- a/components/gateway/tests/scheduler.rs
+++ b/components/gateway/tests/scheduler.rs
@@ -48,6 +48,7 @@
         prompt_tokens: 600,
         output_tokens,
         tokens_per_event: 1,
+        is_stream: true,
         session_part: None,
         is_last_attempt: false,
         arrived: now,
--- a/components/gateway/tests/worst_load.rs
+++ b/components/gateway/tests/worst_load.rs
@@ -45,6 +45,7 @@
         prompt_tokens: tokens.0,
         output_tokens: tokens.1,
         tokens_per_event: 16,
+        is_stream: tokens.1 > 0,
         session_part: None,
         is_last_attempt: false,
         arrived: now,
