--- a/components/gateway/src/allowance/bucket_owner.rs
+++ b/components/gateway/src/allowance/bucket_owner.rs
@@ -78,8 +78,6 @@
     counted_since: Option<Instant>,
     /// Limit that the usage was last compared with, in units for a window.
     window_limit: Option<f64>,
-    /// Units that were refused and whose callers were told to come back.
-    refused_units: f64,
     /// Whether this gateway was the owner when the role was last evaluated.
     owned: bool,
     /// Since when this gateway grants from the bucket; `None` for an unused replica.
@@ -277,7 +275,6 @@
             usage: WindowUsage::default(),
             counted_since: Some(refilled_at),
             window_limit: None,
-            refused_units: 0.0,
             owned: false,
             granting_since: None,
             last_used_at: refilled_at,
@@ -341,7 +338,8 @@
         let needed = request.needed.min(allowance.burst);
         if available <= 0.0 || available + overdraft < needed {
             let missing = (needed - overdraft).max(0.0);
-            return self.refuse(request.needed, missing, limit - used, terms, now);
+            let wait = self.time_until_available(missing, limit - used, terms, now);
+            return CreditReply::Exhausted(wait);
         }
         let prefetch_units = if available > allowance.burst * MIN_FILL_FOR_PREFETCH {
             request.prefetch.min(allowance.burst * MAX_PREFETCH_SHARE)
@@ -359,25 +357,20 @@
         }
     }
 
-    /// Refuses a request. Its caller is told to come back after the requests that were refused
-    /// before it, so that those who return do not all find the bucket empty again.
-    fn refuse(
-        &mut self,
-        units: f64,
+    /// Time until `missing_units` are available, with `window_room` units left in the window.
+    fn time_until_available(
+        &self,
         missing_units: f64,
         window_room: f64,
         terms: BucketTerms,
         now: Instant,
-    ) -> CreditReply {
+    ) -> Duration {
         let per_second = (terms.allowance.per_second * terms.share).max(1.0);
         let refill_wait =
             Duration::from_secs_f64((missing_units - self.level).max(0.0) / per_second);
         let window_wait =
             self.usage.time_until_freed(missing_units - window_room, terms.tolerance.window, now);
-        let exhausted_for = refill_wait.max(window_wait);
-        let queue_wait = Duration::from_secs_f64(self.refused_units / per_second);
-        self.refused_units += units;
-        CreditReply::Exhausted { exhausted_for, retry_after: exhausted_for + queue_wait }
+        refill_wait.max(window_wait)
     }
 
     fn refill(&mut self, terms: BucketTerms, window_limit: f64, now: Instant) {
@@ -403,7 +396,6 @@
         }
         let capacity = allowance.burst + tolerance.slack * CAPACITY_SLACK_SHARE;
         self.level = (self.level + elapsed * per_second * share).min(capacity);
-        self.refused_units = (self.refused_units - elapsed * allowance.per_second * share).max(0.0);
         self.refilled_at = now;
     }
 }
--- a/components/gateway/src/allowance/local_credit.rs
+++ b/components/gateway/src/allowance/local_credit.rs
@@ -44,8 +44,6 @@
     demand_per_second: f64,
     demand_at: Instant,
     exhausted_until: Option<Instant>,
-    /// Time at which callers that are refused until then should come back.
-    retry_at: Instant,
     /// Units available from the even share.
     even_share: f64,
     even_share_at: Instant,
@@ -88,7 +86,6 @@
             demand_per_second: 0.0,
             demand_at: now,
             exhausted_until: None,
-            retry_at: now,
             even_share: 0.0,
             even_share_at: started_at,
             unreported: 0.0,
@@ -119,9 +116,7 @@
             return Acquisition::Granted;
         }
         if let Some(until) = account.exhausted_until.filter(|until| now < *until) {
-            return Acquisition::Refused(
-                until.max(account.retry_at).saturating_duration_since(now),
-            );
+            return Acquisition::Refused(until.saturating_duration_since(now));
         }
         let expected_units = account.demand_per_second * PREFETCH_PERIOD.as_secs_f64();
         let is_worth_prefetching =
@@ -153,10 +148,9 @@
                 account.credited_at = now;
                 account.exhausted_until = None;
             }
-            Some(CreditReply::Exhausted { exhausted_for, retry_after }) => {
+            Some(CreditReply::Exhausted(wait)) => {
                 account.exhausted_until =
-                    Some(now + exhausted_for.clamp(MIN_EXHAUSTED_TIME, MAX_EXHAUSTED_TIME));
-                account.retry_at = now + retry_after;
+                    Some(now + wait.clamp(MIN_EXHAUSTED_TIME, MAX_EXHAUSTED_TIME));
             }
             Some(CreditReply::NotOwner) | None => account.unreported += request.unreported,
         }
--- a/components/gateway/src/allowance/mod.rs
+++ b/components/gateway/src/allowance/mod.rs
@@ -57,14 +57,8 @@
 pub enum CreditReply {
     /// Units that the gateway may grant.
     Granted(f64),
-    /// The bucket is empty.
-    Exhausted {
-        /// Time until it has refilled enough for this request.
-        exhausted_for: Duration,
-        /// Time after which the caller should try again: callers that were refused before it come
-        /// first.
-        retry_after: Duration,
-    },
+    /// The bucket is empty until this time has passed.
+    Exhausted(Duration),
     /// This gateway does not own the customer's bucket, or not yet.
     NotOwner,
 }
--- a/components/gateway/src/runtime/allowance.rs
+++ b/components/gateway/src/runtime/allowance.rs
@@ -101,8 +101,14 @@
             let reply = self.request_credit(request).await;
             let now = self.clock.now();
             self.local_credit.borrow_mut().apply_reply(&request, reply, now);
-            if matches!(reply, None | Some(CreditReply::NotOwner)) {
-                return self.acquire_from_even_share(customer, allowance, cost, now);
+            match reply {
+                Some(CreditReply::Granted(_)) => {}
+                Some(CreditReply::Exhausted(retry_after)) => {
+                    return AllowanceDecision::Denied { retry_after, by_own_share: false };
+                }
+                Some(CreditReply::NotOwner) | None => {
+                    return self.acquire_from_even_share(customer, allowance, cost, now);
+                }
             }
             acquisition = self.local_credit.borrow_mut().acquire(customer, cost, now);
         }
