Read the store for a peer's state only when behind its position

Change: a peer is newer if its position in the history is; the gateways of a zone that are behind read one after the other, 100 ms apart, and what the first one passes on spares the others the read.

Tests: a_peer_that_is_behind_makes_no_read_due, gateways_that_are_behind_read_in_their_order; in a_lasting_mismatch_does_not_cause_constant_reads both now know the same position, as a lasting difference has.

--- a/components/gateway/src/read_schedule.rs
+++ b/components/gateway/src/read_schedule.rs
@@ -3,14 +3,14 @@
 //!
 //! Every store request costs money, and the store's rate limits grow more slowly than the fleet.
 //! Gateways of a zone exchange the age of their last store read and a fingerprint of the state they
-//! know: a gateway with the same fingerprint need not read. One whose fingerprint differs reads at
-//! once.
+//! know: a gateway with the same fingerprint need not read. One that is behind a peer reads soon.
 //!
 //! Load pattern: a zone of eighteen gateways in calm. All see the last confirmation grow old within
 //! one digest interval of each other, and without an order all would read before the first reader's
 //! digest arrives. The gateways of a zone are therefore ranked: the first one reads, the others
 //! later, if it does not.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -29,10 +29,16 @@
 /// Minimum interval between two reads, also if a peer's fingerprint differs.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Minimum interval between two reads caused by peers that have read no later than this gateway.
-/// Their state may differ permanently, for example by a store item that only one of the two can
-/// decode.
-const MIN_STALE_MISMATCH_READ_INTERVAL: Duration = Duration::from_millis(800);
+/// Time for which the next gateway in the ranking of a zone waits longer before it reads because it
+/// is behind a peer: the first reader passes on what it has read.
+const MISMATCH_DELAY_PER_RANK: Duration = Duration::from_millis(100);
+
+/// Rank from which gateways no longer wait longer for that.
+const LAST_MISMATCH_RANK: u32 = 6;
+
+/// Minimum interval between two reads caused by peers that know the same part of the history. Their
+/// state may differ permanently, for example by a store item that only one of the two can decode.
+const MIN_LASTING_MISMATCH_READ_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Maximum interval between two reads. Gateways keep up with the store's history by the positions
 /// in their peers' digests; this bounds the time for which one relies on them alone.
@@ -62,9 +68,18 @@
     /// Position in the store's history up to which this gateway knows the state, by its own reads
     /// or by those of peers that know the same state. The next read continues there.
     position: Option<u64>,
-    /// Whether a peer with a different fingerprint has read the store later than this gateway;
-    /// `None` if no fingerprint has differed since the last read.
-    newer_mismatch: Option<bool>,
+    /// Difference from the state of peers, noticed since the last read.
+    mismatch: Option<Mismatch>,
+}
+
+/// Difference between the states that this gateway and a peer know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mismatch {
+    /// The peer knows the store's history further than this gateway, or is a member that this
+    /// gateway does not know, since this uptime.
+    Behind(Duration),
+    /// Both know the same part of the history.
+    Lasting,
 }
 
 impl ReadSchedule {
@@ -81,7 +96,7 @@
     pub fn record_read(&mut self, queried_at: Duration, position: u64) {
         self.last_read_at = Some(queried_at);
         self.position = Some(position);
-        self.newer_mismatch = None;
+        self.mismatch = None;
     }
 
     /// Applies a peer's digest. Returns a lower bound for the time at which the store confirmed the
@@ -89,7 +104,7 @@
     /// before it sent its own, so the age counts back from the time that the acknowledged digest
     /// was sent. A digest that was in transit for long, or stayed unread while either process was
     /// suspended, is therefore not taken for a fresh one.
-    pub fn apply_peer_read(&mut self, peer_read: PeerRead) -> Option<Duration> {
+    pub fn apply_peer_read(&mut self, peer_read: PeerRead, uptime: Duration) -> Option<Duration> {
         let acknowledged = peer_read.acknowledged?;
         let sent_at = self.sent_digests.iter().find(|(sequence, _)| *sequence == acknowledged)?.1;
         let confirmed_at = sent_at.checked_sub(peer_read.age?)?;
@@ -97,9 +112,12 @@
             self.position = self.position.max(peer_read.position);
             return Some(confirmed_at);
         }
-        let peer_is_newer =
-            self.last_read_at.is_none_or(|last_read_at| confirmed_at > last_read_at);
-        self.newer_mismatch = Some(peer_is_newer || self.newer_mismatch == Some(true));
+        match peer_read.position.cmp(&self.position) {
+            Ordering::Greater => self.record_behind(uptime),
+            Ordering::Equal => self.mismatch = self.mismatch.or(Some(Mismatch::Lasting)),
+            // The peer will notice that it is behind.
+            Ordering::Less => {}
+        }
         None
     }
 
@@ -118,11 +136,18 @@
     /// Records that a peer's read up to `position` was applied.
     pub fn record_shared_read(&mut self, position: u64) {
         self.position = self.position.max(Some(position));
+        self.mismatch = None;
     }
 
     /// Records contact from a gateway that is not in the member list yet.
-    pub fn record_unknown_peer(&mut self) {
-        self.newer_mismatch = Some(true);
+    pub fn record_unknown_peer(&mut self, uptime: Duration) {
+        self.record_behind(uptime);
+    }
+
+    fn record_behind(&mut self, uptime: Duration) {
+        if !matches!(self.mismatch, Some(Mismatch::Behind(_))) {
+            self.mismatch = Some(Mismatch::Behind(uptime));
+        }
     }
 
     /// Whether this gateway should read the store now. `age` is the age of the last confirmation,
@@ -131,9 +156,12 @@
         let (Some(last_read_at), Some(age)) = (self.last_read_at, age) else { return true };
         let since_read = uptime.saturating_sub(last_read_at);
         let due_age = MAX_CONFIRMATION_AGE + READ_DELAY_PER_RANK * rank.min(LAST_DELAYED_RANK);
-        let mismatch_due = match self.newer_mismatch {
-            Some(true) => since_read >= MIN_READ_INTERVAL,
-            Some(false) => since_read >= MIN_STALE_MISMATCH_READ_INTERVAL,
+        let mismatch_due = match self.mismatch {
+            Some(Mismatch::Behind(since)) => {
+                let delay = MISMATCH_DELAY_PER_RANK * rank.min(LAST_MISMATCH_RANK);
+                since_read >= MIN_READ_INTERVAL && uptime.saturating_sub(since) >= delay
+            }
+            Some(Mismatch::Lasting) => since_read >= MIN_LASTING_MISMATCH_READ_INTERVAL,
             None => false,
         };
         mismatch_due
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -197,7 +197,9 @@
             same_fingerprint: digest.fingerprint == self.fingerprint(),
             position: digest.position,
         };
-        if let Some(confirmed_at) = self.read_schedule.borrow_mut().apply_peer_read(peer_read) {
+        let uptime = self.clock.uptime();
+        let confirmed_at = self.read_schedule.borrow_mut().apply_peer_read(peer_read, uptime);
+        if let Some(confirmed_at) = confirmed_at {
             self.record_confirmation(confirmed_at);
         }
     }
@@ -224,7 +226,7 @@
         };
         let from = message.sender();
         let Some((_, zone)) = self.peers.borrow().locate(from) else {
-            self.read_schedule.borrow_mut().record_unknown_peer();
+            self.read_schedule.borrow_mut().record_unknown_peer(self.clock.uptime());
             return;
         };
         self.peers.borrow_mut().record_contact(from, self.clock.now());
