Send other zones digests without acknowledgements

Change: digests for the own zone and for the others are separate datagrams; the latter acknowledge nothing. Test: recipients_are_those_of_a_zone_or_of_all_others.

--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -85,6 +85,24 @@
     }
 }
 
+/// Availability zones that a message is for.
+#[derive(Debug, Clone, Copy)]
+pub enum Recipients<'a> {
+    /// Gateways of one availability zone.
+    Zone(&'a str),
+    /// Gateways of all availability zones but one.
+    OtherZones(&'a str),
+}
+
+impl Recipients<'_> {
+    fn include(&self, zone: &str) -> bool {
+        match self {
+            Recipients::Zone(only) => *only == zone,
+            Recipients::OtherZones(excluded) => *excluded != zone,
+        }
+    }
+}
+
 /// All other gateways.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -189,11 +207,11 @@
         contacted.map(|(id, peer)| (*id, peer.sequence)).collect()
     }
 
-    /// Recipients of a digest: the serving members of all availability zones, or of one.
-    pub fn addresses(&self, zone: Option<&str>, now: Instant) -> Vec<SocketAddr> {
+    /// Recipients of a digest: the serving members in some availability zones.
+    pub fn addresses(&self, recipients: Recipients<'_>, now: Instant) -> Vec<SocketAddr> {
         let serving = self.peers.values().filter(|peer| peer.is_serving(now));
-        let recipients = serving.filter(|peer| zone.is_none_or(|zone| &*peer.zone == zone));
-        recipients.map(|peer| peer.address).collect()
+        let selected = serving.filter(|peer| recipients.include(&peer.zone));
+        selected.map(|peer| peer.address).collect()
     }
 
     /// Whether a member has sent anything within `span`.
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -13,7 +13,7 @@
 use super::state::{Shared, SharedRef};
 use crate::broker::Message;
 use crate::model::PeerId;
-use crate::peers::Digest;
+use crate::peers::{Digest, Recipients};
 use crate::read_schedule::PeerRead;
 use crate::shared_read::SharedRead;
 
@@ -127,34 +127,50 @@
     /// Sends the periodic digest. The first one makes this process known in all zones.
     fn send_digest(&self, round: u32) {
         let to_all = round.is_multiple_of(DIGESTS_PER_BROADCAST);
-        self.send_digest_to((!to_all).then_some(&*self.own_zone));
+        self.send_digest_to_zone();
+        if to_all {
+            self.send_digest_to_other_zones();
+        }
+    }
+
+    fn send_digest_to_zone(&self) {
+        let acknowledged = self.peers.borrow().latest_digests_in(&self.own_zone);
+        self.send_digest_to(Recipients::Zone(&self.own_zone), acknowledged);
     }
 
-    /// Sends a digest to the gateways of a zone, or of all.
-    fn send_digest_to(&self, zone: Option<&str>) {
+    /// Gateways of other zones do not rely on this one's reads of the store, so the digest
+    /// acknowledges none of theirs.
+    fn send_digest_to_other_zones(&self) {
+        self.send_digest_to(Recipients::OtherZones(&self.own_zone), Vec::new());
+    }
+
+    fn send_digest_to(&self, recipients: Recipients<'_>, acknowledged: Vec<(PeerId, u32)>) {
         let sequence = self.last_digest_sequence.get() + 1;
         self.last_digest_sequence.set(sequence);
-        let addresses = self.peers.borrow().addresses(zone, self.clock.now());
+        let addresses = self.peers.borrow().addresses(recipients, self.clock.now());
         if !addresses.is_empty() {
-            self.send_datagrams(&Message::Digest(self.digest(sequence)), &addresses);
+            let digest = self.digest(sequence, acknowledged);
+            self.send_datagrams(&Message::Digest(digest), &addresses);
         }
     }
 
     /// Sends a digest to all gateways at once when this one begins or ceases to leave its elected
     /// roles.
     pub(super) fn announce_leaving(&self) {
-        self.send_digest_to(None);
+        self.send_digest_to_zone();
+        self.send_digest_to_other_zones();
     }
 
     /// Sends a digest to the gateways of the zone at once after a read of the store, so that they
     /// need not read as well.
     pub(super) fn announce_read(&self) {
-        self.send_digest_to(Some(&self.own_zone));
+        self.send_digest_to_zone();
     }
 
     /// Sends what was read from the store to the gateways of the zone.
     pub(super) fn share_with_zone(&self, read: SharedRead) {
-        let addresses = self.peers.borrow().addresses(Some(&self.own_zone), self.clock.now());
+        let zone = Recipients::Zone(&self.own_zone);
+        let addresses = self.peers.borrow().addresses(zone, self.clock.now());
         self.send_datagrams(&Message::SharedRead { from: self.process_id, read }, &addresses);
     }
 
@@ -168,7 +184,7 @@
         }
     }
 
-    fn digest(&self, sequence: u32) -> Digest {
+    fn digest(&self, sequence: u32, acknowledged: Vec<(PeerId, u32)>) -> Digest {
         let uptime = self.clock.uptime();
         self.read_schedule.borrow_mut().record_digest_sent(sequence, uptime);
         let age = self.freshness.get().age(uptime);
@@ -176,10 +192,7 @@
             fingerprint: self.fingerprint(),
             position: self.read_schedule.borrow().position(),
             confirmed_ms_ago: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
-            acknowledged: self
-                .peers
-                .borrow()
-                .latest_digests_in(&self.settings.borrow().topology.own_zone),
+            acknowledged,
             from: self.process_id,
             sequence,
             leaving: self.is_leaving(),
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::broker::Message;
-use gateway::peers::{Digest, Member, Peers};
+use gateway::peers::{Digest, Member, Peers, Recipients};
 
 fn member(id: u64, port: u16) -> Member {
     Member { id, address: ([127, 0, 0, 1], port).into(), zone: "a".to_owned(), cores: 0.2 }
@@ -32,7 +32,7 @@
         peers.accept_digest(1, second as u32, now);
         peers.expire_departed(now);
         assert!(peers.is_member(1), "after {second} s");
-        assert_eq!(peers.addresses(None, now).len(), 1);
+        assert_eq!(peers.addresses(Recipients::Zone("a"), now).len(), 1);
     }
     let later = start + Duration::from_secs(40);
     peers.expire_departed(later);
@@ -68,6 +68,17 @@
     assert!(Message::decode(&bytes[..3]).is_err());
 }
 
+#[test]
+fn recipients_are_those_of_a_zone_or_of_all_others() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    let elsewhere = Member { zone: "b".to_owned(), ..member(3, 7002) };
+    peers.set_members(&[member(1, 7000), member(2, 7001), elsewhere], now);
+    let count = |recipients| peers.addresses(recipients, now).len();
+    assert_eq!((count(Recipients::Zone("a")), count(Recipients::OtherZones("a"))), (2, 1));
+    assert_eq!((count(Recipients::Zone("b")), count(Recipients::OtherZones("b"))), (1, 2));
+}
+
 #[test]
 fn last_confirmation_counts_reachable_members_only() {
     let now = Instant::now();
