--- a/components/scenario/src/fleet/mod.rs
+++ b/components/scenario/src/fleet/mod.rs
@@ -1,7 +1,10 @@
 //! A fleet: the programs of a plan, run as child processes with relays between them.
 
+mod loopback;
 mod start;
 
+pub use loopback::LoopbackIps;
+
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
--- a/components/scenario/src/fleet/start.rs
+++ b/components/scenario/src/fleet/start.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use web::Client;
 
+use super::loopback::LoopbackIps;
 use super::{Fleet, PatchSubmission, ProgramPaths, RestartCommand};
 use crate::{FleetPlan, Process, Relay};
 
@@ -32,15 +33,15 @@
             .enable_all()
             .build()
             .context("building the tokio runtime")?;
-        let listen_ip = unique_loopback_ip();
+        let ips = next_loopback_ips();
         let mut fleet = Fleet {
             processes: BTreeMap::new(),
             relays: BTreeMap::new(),
             restart_commands: BTreeMap::new(),
             addresses: BTreeMap::new(),
             operators_addresses: BTreeMap::new(),
-            peer_addresses: reserve_peer_addresses(&plan, listen_ip)?,
-            listen_ip,
+            peer_addresses: reserve_peer_addresses(&plan, ips.peers)?,
+            listen_ip: ips.listen,
             plan,
             program_paths,
             client: Client::spawn()?,
@@ -238,24 +239,19 @@
     }
 }
 
-/// A loopback address that no other fleet uses. No other program can then take the port of a
-/// process before its start, or between its end and its restart, as all others bind to and connect
-/// from 127.0.0.1.
-fn unique_loopback_ip() -> Ipv4Addr {
+fn next_loopback_ips() -> LoopbackIps {
     static FLEET_COUNT: AtomicU8 = AtomicU8::new(0);
-    let fleet = FLEET_COUNT.fetch_add(1, Ordering::Relaxed);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 1 + fleet % 250, high, low.clamp(1, 254))
+    LoopbackIps::of_fleet(FLEET_COUNT.fetch_add(1, Ordering::Relaxed), std::process::id())
 }
 
 /// Finds a free port for the peer listener of each entry process before any of them runs, as the
 /// settings of every process list all of these addresses.
 fn reserve_peer_addresses(
     plan: &FleetPlan,
-    listen_ip: Ipv4Addr,
+    peer_ip: Ipv4Addr,
 ) -> Result<BTreeMap<String, SocketAddr>> {
     let listeners: Vec<TcpListener> =
-        plan.entries.keys().map(|_| TcpListener::bind((listen_ip, 0))).collect::<Result<_, _>>()?;
+        plan.entries.keys().map(|_| TcpListener::bind((peer_ip, 0))).collect::<Result<_, _>>()?;
     let addresses = listeners.iter().map(TcpListener::local_addr);
     plan.entries
         .keys()
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -12,7 +12,7 @@
 mod response;
 
 pub use caller::{Booking, ModelRequest, PendingResponse};
-pub use fleet::{Fleet, PatchSubmission, ProgramPaths};
+pub use fleet::{Fleet, LoopbackIps, PatchSubmission, ProgramPaths};
 pub use language::{RunOptions, RunReport, Script};
 pub use plan::{EnginePlan, FleetPlan, ServicePlan, bearer_key_of};
 pub use process::Process;
