--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -18,6 +18,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use lru::LruCache;
+
 use crate::model::{PeerId, ServiceId, Topology, Upstream, UpstreamId};
 use placement::Selection;
 use queue::{Queue, Waiter};
@@ -33,8 +35,10 @@
 /// unused prompt parts from their caches after about as long.
 const SESSION_RETENTION: Duration = Duration::from_secs(10);
 
-/// Maximum number of remembered sessions.
-const MAX_SESSIONS: usize = 4_096;
+/// Maximum number of remembered sessions, for all services; the least recently used ones are
+/// forgotten first. It takes about 4 MB, and covers the sessions of `SESSION_RETENTION` at 4,800
+/// requests per second, the target of the design.
+const MAX_SESSIONS: usize = 49_152;
 
 /// State of the upstreams, and queues of the requests that wait for their slots.
 #[derive(Debug)]
@@ -48,7 +52,7 @@
     queue: Queue,
     value_model: ValueModel,
     /// Upstream and time of each session's last request, by the id of the prompt's last part.
-    sessions: HashMap<u64, (UpstreamId, Instant)>,
+    sessions: LruCache<u64, (UpstreamId, Instant)>,
     last_slot_id: SlotId,
     /// Number of comparisons of an upstream with a request.
     comparisons: Cell<u64>,
@@ -65,7 +69,7 @@
             plain_services: HashSet::new(),
             queue: Queue::default(),
             value_model: ValueModel::default(),
-            sessions: HashMap::new(),
+            sessions: LruCache::unbounded(),
             last_slot_id: 0,
             comparisons: Cell::new(0),
         }
@@ -321,19 +325,16 @@
     }
 
     fn has_session(&self, upstream: UpstreamId, job: &Job, now: Instant) -> bool {
-        let session = job.session_part.and_then(|part| self.sessions.get(&part));
+        let session = job.session_part.and_then(|part| self.sessions.peek(&part));
         session.is_some_and(|(holder, at)| {
             *holder == upstream && now.saturating_duration_since(*at) < SESSION_RETENTION
         })
     }
 
     fn record_session(&mut self, part: u64, upstream: UpstreamId, now: Instant) {
-        if self.sessions.len() >= MAX_SESSIONS {
-            self.sessions
-                .retain(|_, (_, at)| now.saturating_duration_since(*at) < SESSION_RETENTION);
-        }
-        if self.sessions.len() < MAX_SESSIONS {
-            self.sessions.insert(part, (upstream, now));
+        self.sessions.put(part, (upstream, now));
+        if self.sessions.len() > MAX_SESSIONS {
+            self.sessions.pop_lru();
         }
     }
 }
--- a/components/gateway/tests/worst_load.rs
+++ b/components/gateway/tests/worst_load.rs
@@ -239,3 +239,30 @@
     // Two requests that found no slot were waiting.
     assert!(fill(&mut scheduler).len() >= PLAIN_SLOTS as usize - 2);
 }
+
+/// Load pattern: more sessions in use than a hundred upstreams cache at a time. A session that
+/// continues must find the upstream of its last request, however many other sessions there are.
+#[test]
+fn a_session_is_remembered_among_thousands_of_others() {
+    const SESSIONS: u64 = 6_000;
+    let start = Instant::now();
+    let mut scheduler = scheduler(2, 4, start);
+    let mut holders = Vec::new();
+    let mut submit = |part: u64, now: Instant| {
+        let session_job = Job { session_part: Some(part), ..job(0, (6_670, 384), 600, now) };
+        let Submission::Assigned(slot) = scheduler.submit(session_job, now) else {
+            unreachable!("slots are free");
+        };
+        scheduler.release(slot.id, GATEWAY, SERVED, now);
+        slot.upstream
+    };
+    for part in 0..SESSIONS {
+        holders.push(submit(part, start + Duration::from_millis(part)));
+    }
+    let mut same = 0;
+    for part in (0..SESSIONS).rev().take(1_000) {
+        let now = start + Duration::from_millis(2 * SESSIONS - part);
+        same += u32::from(submit(part, now) == holders[part as usize]);
+    }
+    assert!(same >= 950, "{same} of 1,000 sessions continue at their upstream");
+}
