End a stream whose event has no end

Cause: bytes of an event are buffered until it is complete, without a bound. An upstream that sends bytes without end fills the memory of the gateway: 161 MB until the time limit of one request of 6 s, where hosts have 160 MB for the process.

Change: an event over 256 KiB breaks the stream: the connection is closed, the upstream counted as failed, and the stream resumed elsewhere where the route allows.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -1,7 +1,12 @@
 //! Splits a response body into complete server-sent events.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
+/// Largest event of a stream. Events hold some tokens of text, a kilobyte at most.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Blank line that ends an event.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
 
@@ -12,9 +17,27 @@
     partial: BytesMut,
 }
 
+/// Error of a stream with an event that is longer than `MAX_EVENT_BYTES`, or without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLong;
+
+impl fmt::Display for EventTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event exceeds the limit of {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for EventTooLong {}
+
 impl EventSplitter {
-    /// Appends bytes and returns all events that are complete now, as one buffer.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    /// Appends bytes and returns all events that are complete now, as one buffer. Fails if the last
+    /// event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
+        let events = self.take_complete(bytes);
+        if self.partial.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(events) }
+    }
+
+    fn take_complete(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let search_from = self.partial.len().saturating_sub(EVENT_DELIMITER.len() - 1);
         self.partial.extend_from_slice(bytes);
         let end = self.partial[search_from..]
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -191,9 +191,13 @@
                 Ok(Some(Ok(frame))) => frame,
             };
             let Ok(bytes) = frame.into_data() else { continue };
-            if let Some(events) = self.splitter.push(&bytes) {
-                self.record_events(&events);
-                return ReadResult::Events(events);
+            match self.splitter.push(&bytes) {
+                Ok(Some(events)) => {
+                    self.record_events(&events);
+                    return ReadResult::Events(events);
+                }
+                Ok(None) => {}
+                Err(error) => return ReadResult::Broken(error.to_string()),
             }
             self.slot.record_activity();
         }
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -1,7 +1,7 @@
 //! Only complete events are forwarded, whatever the chunks they arrive in.
 
 use bolero::produce;
-use gateway::events::{EventSplitter, last_event_id};
+use gateway::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES, last_event_id};
 
 #[test]
 fn chunks_of_any_size_yield_the_complete_events_only() {
@@ -15,7 +15,7 @@
             let size = sizes.next().unwrap_or(1).min(rest.len());
             let (chunk, left) = rest.split_at(size);
             rest = left;
-            if let Some(events) = splitter.push(chunk) {
+            if let Some(events) = splitter.push(chunk).expect("short events") {
                 assert!(events.ends_with(b"\n\n"));
                 forwarded.extend_from_slice(&events);
             }
@@ -25,6 +25,19 @@
     });
 }
 
+/// Guards against a stream without event delimiters that fills the memory of the process.
+#[test]
+fn an_event_without_end_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let chunk = [b'x'; 16 << 10];
+    let mut buffered = 0;
+    while splitter.push(&chunk) == Ok(None) {
+        buffered += chunk.len();
+        assert!(buffered <= MAX_EVENT_BYTES, "{buffered} bytes buffered");
+    }
+    assert_eq!(splitter.push(&chunk), Err(EventTooLong));
+}
+
 #[test]
 fn last_event_id_is_that_of_the_last_event() {
     assert_eq!(last_event_id(b"id: 7\ndata: x\n\nid: 8\ndata: y\n\n"), Some(8));
