--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -12,6 +12,11 @@
 use crate::scheduler::{Job, Observation, Priority, Rejection, RouteId};
 use crate::shared_read::SharedRead;
 
+/// First byte of each datagram. It changes with the encoding, so that gateways of different versions
+/// that run beside each other during an update do not misread each other. The first format had no
+/// such byte; it takes this value for an unknown message.
+const FORMAT: u8 = 101;
+
 /// Identifies a slot request at the gateway that sent it.
 pub type SlotRequestId = u32;
 
@@ -242,12 +247,15 @@
 impl Message {
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        postcard::to_stdvec(self).map_err(|error| MessageError(error.to_string()))
+        postcard::to_extend(self, vec![FORMAT]).map_err(|error| MessageError(error.to_string()))
     }
 
     /// Decodes a datagram.
     pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
-        postcard::from_bytes(bytes).map_err(|error| MessageError(error.to_string()))
+        let Some((&FORMAT, message)) = bytes.split_first() else {
+            return Err(MessageError("the datagram is of another format".to_owned()));
+        };
+        postcard::from_bytes(message).map_err(|error| MessageError(error.to_string()))
     }
 
     /// Gateway process that sent the message.
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -102,6 +102,21 @@
     assert_eq!(granted, 20 * SLOTS);
 }
 
+/// Guards against gateways of different versions that take each other's datagrams for something else
+/// during an update.
+#[test]
+fn a_datagram_of_another_format_is_rejected() {
+    let reply = SlotReply::Queued;
+    let message = Message::SlotReply { from: GATEWAY_A, request_id: 3, reply };
+    let bytes = message.encode().expect("encodes");
+    assert_eq!(Message::decode(&bytes), Ok(message));
+    assert!(Message::decode(&bytes[1..]).is_err(), "the first format had no format byte");
+    assert!(Message::decode(&[]).is_err());
+    let mut other = bytes.clone();
+    other[0] += 1;
+    assert!(Message::decode(&other).is_err());
+}
+
 /// Guards against a repeated datagram that occupies a second slot or queue position.
 #[test]
 fn a_repeated_slot_request_gets_the_same_reply_and_no_second_slot() {
