Do not take a store that drops its history for one that is cut off

The first reader of each zone waits 1 s for its watch, then 250 ms, and is told that the history is gone; until then no gateway confirms the configuration. The first zone that reads again is then 2.6 s ahead of the others, all of whose gateways take themselves for cut off: they report that they are not ready, leave their roles, and tell all others: 9,391 messages at 17 riga and 103 other gateways within a second.

A gateway counts as cut off if it is behind for 500 ms.

--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -20,7 +20,7 @@
 use crate::allowance::{BucketOwner, CreditReply, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
 use crate::customers::CustomerKeys;
-use crate::freshness::Freshness;
+use crate::freshness::{Freshness, StoreLag};
 use crate::header_codec::HeaderCodec;
 use crate::model::{Allowance, CallerLimits, PeerId, ServiceId, Upstream, UpstreamId};
 use crate::peers::Peers;
@@ -41,10 +41,6 @@
     keepalive_interval: Duration::from_millis(1_000),
 };
 
-/// Lag of this gateway's last store confirmation behind its peers' from which it counts as cut off
-/// from the store: the time of two reads of the store and a digest.
-const STORE_LAG_LIMIT: Duration = Duration::from_millis(2_000);
-
 /// The active configuration, indexed for the look-ups of requests.
 #[derive(Debug, Default)]
 pub(super) struct ActiveConfiguration {
@@ -76,6 +72,7 @@
     pub(super) pool: Pool,
     pub(super) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
     pub(super) freshness: Cell<Freshness>,
+    store_lag: Cell<StoreLag>,
     pub(super) own_zone: Rc<str>,
     /// Socket for datagrams to and from other gateways.
     pub(super) socket: UdpSocket,
@@ -148,6 +145,7 @@
             pool: Pool::default(),
             active_configuration: RefCell::default(),
             freshness: Cell::default(),
+            store_lag: Cell::default(),
             bucket_owner: RefCell::new(BucketOwner::new(now)),
             local_credit: RefCell::new(LocalCredit::new(now)),
             pending_credit_requests: RefCell::default(),
@@ -191,12 +189,14 @@
     /// Whether peers have a much later confirmation from the store: this gateway cannot reach the
     /// store, and its peers serve requests better.
     pub(super) fn lags_behind_peers(&self) -> bool {
-        let Some(latest) = self.peers.borrow().last_confirmed(self.clock.now()) else {
-            return false;
-        };
-        let age = self.freshness.get().age(self.clock.uptime());
-        let own_latest = age.map_or(Duration::ZERO, |age| self.clock.uptime().saturating_sub(age));
-        own_latest + STORE_LAG_LIMIT < latest
+        self.store_lag.get().is_cut_off()
+    }
+
+    fn update_store_lag(&self) {
+        let latest = self.peers.borrow().last_confirmed(self.clock.now());
+        let mut store_lag = self.store_lag.get();
+        store_lag.update(self.freshness.get().confirmed_at(), latest, self.clock.uptime());
+        self.store_lag.set(store_lag);
     }
 
     /// Whether the process should get new connections; logs a change.
@@ -281,6 +281,7 @@
             self.peer_health.borrow_mut().retain(|id| peers.is_member(id));
         }
         self.pool.evict_expired(now);
+        self.update_store_lag();
         self.update_leaving();
         self.update_candidates();
         let replies = self.broker.borrow_mut().expire_silent(now);
--- a/components/gateway/tests/read_schedule.rs
+++ b/components/gateway/tests/read_schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::freshness::Freshness;
+use gateway::freshness::{Freshness, StoreLag};
 use gateway::read_schedule::{PeerRead, ReadSchedule};
 
 fn ms(milliseconds: u64) -> Duration {
@@ -20,6 +20,22 @@
     assert!(!freshness.is_within(ms(6_001), ms(5_000)));
 }
 
+/// Load pattern: a store that answers nobody for two seconds and then one gateway first.
+#[test]
+fn a_gateway_counts_as_cut_off_only_if_it_stays_behind_its_peers() {
+    let mut store_lag = StoreLag::default();
+    let (old, new) = (Some(ms(10_000)), Some(ms(12_500)));
+    store_lag.update(old, new, ms(12_600));
+    assert!(!store_lag.is_cut_off(), "its own read may be under way");
+    store_lag.update(new, new, ms(12_800));
+    store_lag.update(old, new, ms(13_200));
+    assert!(!store_lag.is_cut_off(), "it has caught up in between");
+    store_lag.update(old, new, ms(13_700));
+    assert!(store_lag.is_cut_off());
+    store_lag.update(old, None, ms(13_800));
+    assert!(!store_lag.is_cut_off(), "no peer is ahead any more");
+}
+
 /// Guards against a digest that was in transit for long, or stayed unread in a suspended process,
 /// and then makes an old state count as confirmed.
 #[test]
