--- a/components/gateway/src/allowance/mod.rs
+++ b/components/gateway/src/allowance/mod.rs
@@ -7,6 +7,7 @@
 //! fallen silent; an owner that another gateway outranks hands its buckets over. A gateway that
 //! reaches neither grants from its even share and reports that to the owner later.
 
+mod bucket;
 mod bucket_owner;
 mod local_credit;
 mod window_usage;
@@ -18,7 +19,8 @@
 
 use crate::model::{AllowanceUnit, RequestMetadata};
 
-pub use bucket_owner::{BucketOwner, BucketRole, BucketTerms};
+pub use bucket::BucketTerms;
+pub use bucket_owner::{BucketOwner, BucketRole};
 pub use local_credit::{Acquisition, LocalCredit};
 
 /// Identifies a customer between gateways, in four bytes.
--- a/components/gateway/src/allowance/window_usage.rs
+++ b/components/gateway/src/allowance/window_usage.rs
@@ -4,7 +4,7 @@
 //! several large requests in one second and few in the next ones. A token bucket that holds one
 //! second of the allowance refuses the clump, although the operators count over a window of several
 //! seconds. The window itself is therefore what limits a customer; see
-//! [`BucketOwner`](super::BucketOwner).
+//! the bucket.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod allowance;
 mod attempt;
+mod brokering;
 mod caller_request;
 mod callers;
 mod directory;
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -1,5 +1,4 @@
-//! Acquires slots at upstreams from the services' brokers, and handles messages to this gateway as
-//! a broker.
+//! Acquires slots at upstreams from the services' brokers.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,9 +11,7 @@
 use super::peer_socket::RETRANSMIT_INTERVAL;
 use super::slot_guard::SlotGuard;
 use super::state::{AwaitedReply, Shared, SharedRef};
-use crate::broker::{
-    AddressedReply, ElectionKey, Message, SlotReply, SlotRequestId, WireJob, rank_candidates,
-};
+use crate::broker::{ElectionKey, Message, SlotReply, SlotRequestId, WireJob, rank_candidates};
 use crate::model::{PeerId, ServiceId, UpstreamId};
 use crate::peers::Candidate;
 use crate::scheduler::{AttemptOutcome, Job, Observation, Rejection, RejectionReason};
@@ -355,52 +352,6 @@
             );
         }
     }
-
-    /// Handles a message to this gateway as a broker.
-    pub(super) fn handle_broker_message(&self, zone: Rc<str>, message: Message) {
-        let now = self.clock.now();
-        let replies = match message {
-            Message::SlotRequest { from, request_id, job } => {
-                let reply = if self.is_leaving() && from != self.process_id {
-                    SlotReply::NotBroker
-                } else {
-                    self.broker.borrow_mut().request_slot(from, zone, request_id, &job, now)
-                };
-                vec![AddressedReply { to: from, request_id, reply }]
-            }
-            Message::Release { from, request_id, observation } => {
-                self.broker.borrow_mut().release(from, request_id, observation, now)
-            }
-            Message::HeldSlots { from, slots, queued } => {
-                let mut broker = self.broker.borrow_mut();
-                let replies = broker.reconcile_held_slots(from, &slots, now);
-                let mut reviewed = broker.review_queued(from, &queued);
-                drop(broker);
-                if self.is_leaving() && from != self.process_id {
-                    for (_, reply) in reviewed.iter_mut().filter(|(_, reply)| !reply.is_granted()) {
-                        *reply = SlotReply::NotBroker;
-                    }
-                }
-                if !reviewed.is_empty() {
-                    let own_id = self.process_id;
-                    self.send_message(
-                        from,
-                        Message::SlotReplies { from: own_id, replies: reviewed },
-                    );
-                }
-                replies
-            }
-            _ => Vec::new(),
-        };
-        self.send_replies(replies);
-    }
-
-    /// Sends a broker's replies to slot requests.
-    pub(super) fn send_replies(&self, replies: Vec<AddressedReply>) {
-        for AddressedReply { to, request_id, reply } in replies {
-            self.send_message(to, Message::SlotReply { from: self.process_id, request_id, reply });
-        }
-    }
 }
 
 /// The result code for a rejection.
