--- a/components/gateway/benches/slots.rs
+++ b/components/gateway/benches/slots.rs
@@ -64,16 +64,13 @@
     let mut scheduler = Scheduler::new(Topology::default());
     scheduler.set_upstreams(&(0..upstreams).map(upstream).collect::<Vec<_>>(), now);
     let mut running = VecDeque::new();
-    let mut queued = 0;
-    for number in 0.. {
-        match scheduler.submit(job(number, now), now) {
-            Submission::Assigned(slot) => running.push_back(slot.id),
-            Submission::Queued(_) => queued += 1,
-            Submission::Rejected(_) => {}
-        }
-        if queued >= waiting && running.len() >= upstreams * SLOTS as usize {
-            break;
-        }
+    // Small requests occupy the slots, since larger ones would wait rather than stall each other.
+    let small_job = Job { prompt_tokens: 1, pause_objective: None, ..job(0, now) };
+    while let Submission::Assigned(slot) = scheduler.submit(small_job.clone(), now) {
+        running.push_back(slot.id);
+    }
+    for number in 0..waiting {
+        scheduler.submit(job(number, now), now);
     }
     (scheduler, running)
 }
