--- a/components/gateway/src/allowance/window_usage.rs
+++ b/components/gateway/src/allowance/window_usage.rs
@@ -3,8 +3,7 @@
 //! Load pattern: demand that clumps. A customer whose mean demand is well below its allowance sends
 //! several large requests in one second and few in the next ones. A token bucket that holds one
 //! second of the allowance refuses the clump, although the operators count over a window of several
-//! seconds. The window itself is therefore what limits a customer; see
-//! the bucket.
+//! seconds. The window itself is therefore what limits a customer.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- a/components/gateway/src/runtime/brokering.rs
+++ b/components/gateway/src/runtime/brokering.rs
@@ -32,8 +32,8 @@
         self.send_replies(replies);
     }
 
-    /// Tells a gateway what became of its queued slot requests. A broker that leaves sends it to the
-    /// next one.
+    /// Tells a gateway what became of its queued slot requests. If this broker is leaving, the gateway
+    /// has to ask the next one.
     fn reply_to_queued(&self, gateway: PeerId, queued: &[SlotRequestId]) {
         let mut replies = self.broker.borrow().review_queued(gateway, queued);
         if self.is_leaving() && gateway != self.process_id {
--- a/components/gateway/src/scheduler/placement.rs
+++ b/components/gateway/src/scheduler/placement.rs
@@ -106,8 +106,7 @@
         }
     }
 
-    /// Whether an upstream has a free slot for a waiting request, and no other upstream is more
-    /// suitable.
+    /// Whether a waiting request may be sent to an upstream, and no other upstream is more suitable.
     pub(super) fn is_best_choice(
         &self,
         state: &UpstreamState,
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -30,8 +30,8 @@
 /// Age after which the order of a short queue is computed again, since values change over time.
 const MIN_ORDER_AGE: Duration = Duration::from_millis(20);
 
-/// Number of waiting requests for each of which that age grows by itself: the work of computing the
-/// order stays the same share of the time.
+/// The order of a longer queue is kept for `MIN_ORDER_AGE` more for each time that the queue holds
+/// this many requests, so that computing it takes the same share of the time.
 const WAITING_PER_ORDER_AGE: u32 = 100;
 
 /// Number of waiting requests of each route that a decision looks at, from the head of the order.
