Name the load that each decision answers, and give the lag of the store a module

Cause: read as a newcomer, the heads of scheduler, upstream_state and bucket did not say which load they answer; the lag behind peers stood in the module on freshness; a figure on the memory of sessions had no run behind it.

Change: heads, a move, and the figure taken out.

--- a/components/gateway/src/allowance/bucket.rs
+++ b/components/gateway/src/allowance/bucket.rs
@@ -5,6 +5,9 @@
 //! the burst, so that demand may clump within the window, and only as large as the operators' slack
 //! covers if the count is lost: when owner and standby die together, the next owner starts with an
 //! empty bucket and an empty count.
+//!
+//! Load pattern: a customer that sends many times its usual just before gateways are killed or lose
+//! each other.
 
 use std::time::{Duration, Instant};
 
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -20,7 +20,7 @@
 use crate::allowance::{BucketOwner, CreditReply, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
 use crate::customers::CustomerKeys;
-use crate::freshness::{Freshness, StoreLag};
+use crate::freshness::Freshness;
 use crate::header_codec::HeaderCodec;
 use crate::model::{Allowance, CallerLimits, PeerId, ServiceId, Upstream, UpstreamId};
 use crate::peers::Peers;
@@ -29,6 +29,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
 use crate::shared_read::SharedReadReceiver;
+use crate::store_lag::StoreLag;
 use crate::upstream_table::UpstreamTable;
 
 /// Timeouts of connections to upstreams. A handshake takes one round trip, tens of milliseconds
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -5,6 +5,10 @@
 //! processes concurrently. Other requests wait in the scheduler's queue, ordered by value, and are
 //! rejected at once if they would not get a slot in time. The scheduler does no I/O: it is passed
 //! time and events, and returns decisions.
+//!
+//! Load pattern: a burst that is longer than the latency objectives, before upstreams of unequal
+//! speed. `queue` answers how many wait and in which order, `placement` where a request goes,
+//! `upstream_state` how much an upstream is assigned.
 
 mod job;
 mod placement;
@@ -36,8 +40,8 @@
 const SESSION_RETENTION: Duration = Duration::from_secs(10);
 
 /// Maximum number of remembered sessions, for all services; the least recently used ones are
-/// forgotten first. It takes about 4 MB, and covers the sessions of `SESSION_RETENTION` at 4,800
-/// requests per second, the target of the design.
+/// forgotten first. It covers the sessions of `SESSION_RETENTION` at 4,800 requests per second, the
+/// target of the design.
 const MAX_SESSIONS: usize = 49_152;
 
 /// State of the upstreams, and queues of the requests that wait for their slots.
--- a/components/gateway/src/scheduler/upstream_state.rs
+++ b/components/gateway/src/scheduler/upstream_state.rs
@@ -1,4 +1,8 @@
 //! State that the scheduler keeps for an upstream.
+//!
+//! Load pattern: a plain service whose requests take less time than the messages about its slots.
+//! Counted from their assignment to their release, its slots are all occupied while the upstream
+//! itself is idle; it is therefore assigned more requests than it has slots.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
--- a/components/gateway/tests/read_schedule.rs
+++ b/components/gateway/tests/read_schedule.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use gateway::freshness::{Freshness, StoreLag};
+use gateway::freshness::Freshness;
 use gateway::read_schedule::{PeerRead, ReadSchedule};
+use gateway::store_lag::StoreLag;
 
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
