--- /dev/null
+++ b/components/gateway/tests/message.rs
@@ -0,0 +1,101 @@
+//! Encoding of the messages between gateways.
+
+use std::time::Duration;
+
+use gateway::allowance::{BucketLevel, CreditReply, CreditRequest, CustomerId};
+use gateway::broker::{Message, SlotReply, WireJob};
+use gateway::model::{ServiceId, UpstreamId};
+use gateway::scheduler::{AttemptOutcome, Observation, Priority, RouteId};
+use gateway::shared_read::{SharedChange, SharedRead};
+
+const GATEWAY_A: u64 = 1;
+const GATEWAY_B: u64 = 2;
+
+fn job() -> WireJob {
+    WireJob {
+        service: ServiceId::of("models"),
+        route: RouteId(1),
+        priority: Priority { tier: 1, route_tier: 1 },
+        prompt_tokens: 600,
+        output_tokens: 100,
+        tokens_per_event: 8,
+        is_stream: true,
+        session_part: Some(5),
+        is_last_attempt: false,
+        waited_ms: 0,
+        objective_left_ms: 600,
+        pause_objective_ms: None,
+        wait_left_ms: 1_800,
+        time_left_ms: 12_000,
+        excluded: vec![UpstreamId(4)],
+        suspect: vec![],
+    }
+}
+
+#[test]
+fn messages_round_trip_through_their_encoding() {
+    let reply = SlotReply::Granted { upstream: UpstreamId(7) };
+    let observation = Observation::outcome_only(AttemptOutcome::Served);
+    let messages = [
+        Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job() },
+        Message::SlotReply { from: GATEWAY_A, request_id: 3, reply },
+        Message::Release { from: GATEWAY_B, request_id: 4, observation },
+        Message::HeldSlots { from: GATEWAY_B, slots: vec![(4, UpstreamId(9))], queued: vec![7] },
+        Message::SlotReplies {
+            from: GATEWAY_A,
+            replies: vec![(7, SlotReply::Queued), (8, SlotReply::Unknown)],
+        },
+        Message::CreditRequest {
+            from: GATEWAY_A,
+            request: CreditRequest {
+                customer: CustomerId::of("c"),
+                number: 1,
+                needed: 5.5,
+                prefetch: 0.0,
+                unreported: 1.5,
+            },
+        },
+        Message::CreditReply {
+            from: GATEWAY_B,
+            number: 1,
+            reply: CreditReply::Exhausted(Duration::from_millis(3)),
+        },
+        Message::BucketLevels {
+            from: GATEWAY_A,
+            levels: vec![BucketLevel {
+                customer: CustomerId::of("c"),
+                units: 7.5,
+                granted_by_age_ms: vec![(900, 40.0), (400, 2.5)],
+            }],
+            handed_over: true,
+        },
+        Message::SharedRead {
+            from: GATEWAY_B,
+            read: SharedRead {
+                after: 4,
+                position: 9,
+                changes: vec![SharedChange { key: "k".to_owned(), value: None, position: 6 }],
+            },
+        },
+    ];
+    for message in messages {
+        let bytes = message.encode().expect("encodes");
+        assert_eq!(Message::decode(&bytes), Ok(message));
+        assert!(Message::decode(&bytes[..2]).is_err());
+    }
+}
+
+/// Guards against gateways of different versions that take each other's datagrams for something else
+/// during an update.
+#[test]
+fn a_datagram_of_another_format_is_rejected() {
+    let reply = SlotReply::Queued;
+    let message = Message::SlotReply { from: GATEWAY_A, request_id: 3, reply };
+    let bytes = message.encode().expect("encodes");
+    assert_eq!(Message::decode(&bytes), Ok(message));
+    assert!(Message::decode(&bytes[1..]).is_err(), "the first format had no format byte");
+    assert!(Message::decode(&[]).is_err());
+    let mut other = bytes.clone();
+    other[0] += 1;
+    assert!(Message::decode(&other).is_err());
+}
