Log how far a failed store call came, and what a shared read left out

Hypotheses of the incident with large configurations: reads that overload the link and start again, or a store that is slow. A call that failed did not say whether its response had begun, nor how much of it had arrived, and a shared read that ended before a large value left no trace.

--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -84,8 +84,13 @@
     }
 
     fn share_read(&self, read: SharedRead) {
-        for read in read.split() {
-            self.share_with_zone(read);
+        let position = read.position;
+        let parts = read.split();
+        if let Some(last) = parts.last().filter(|last| last.position < position) {
+            info!("shared_read.cut_short shared={} position={position}", last.position);
+        }
+        for part in parts {
+            self.share_with_zone(part);
         }
     }
 
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -179,6 +179,13 @@
     fn handle_shared_read(&self, read: SharedRead) {
         let receiver = self.shared_read_receiver.borrow().clone();
         let continues = self.read_schedule.borrow().continues(read.after, read.position);
+        info!(
+            "shared_read.received after={} position={} changes={} known={:?} applied={continues}",
+            read.after,
+            read.position,
+            read.changes.len(),
+            self.read_schedule.borrow().position(),
+        );
         if let Some(receiver) = receiver.filter(|_| continues) {
             receiver.receive(read);
         }
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -111,7 +111,16 @@
 }
 
 /// Reads a body to its end. Fails if the body is truncated or longer than `limit_bytes`.
-pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
+pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
+    read_body_observed(body, limit_bytes, |_| {}).await
+}
+
+/// Reads a body like [`read_body`], and reports the number of bytes received so far after each part.
+pub async fn read_body_observed(
+    mut body: Incoming,
+    limit_bytes: usize,
+    mut on_received: impl FnMut(usize),
+) -> Result<Bytes, LinkError> {
     let mut content = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| LinkError::Unknown(error.to_string()))?;
@@ -122,6 +131,7 @@
                 )));
             }
             content.extend_from_slice(&chunk);
+            on_received(content.len());
         }
     }
     Ok(content.freeze())
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -7,5 +7,7 @@
 mod connection;
 mod pool;
 
-pub use connection::{Connection, LinkError, LinkResponse, Timeouts, connect, read_body};
+pub use connection::{
+    Connection, LinkError, LinkResponse, Timeouts, connect, read_body, read_body_observed,
+};
 pub use pool::Pool;
