Limit store transfers by progress instead of by their whole duration

Callers of the incident were served by a configuration that had been replaced six seconds before, and gateways of one region were not ready for ten seconds.

Cause: a call to the store had one limit for the whole response (0.5 s for a watch, 1 s for a page), while the response grows with the configuration and the gateways of a region share a link. Each transfer that ran out of time was started again from its beginning, after a watch even as a read of everything, so the link stayed full and none got to its end. Ruled out: a slow store (191 of 220 failed calls ended inside the response), slow decoding (processors at 1 %).

A peer that sends a byte now and then still ends it.

--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -13,6 +13,7 @@
 use log::debug;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 
 /// Response head with a body that has not been read yet.
 pub type LinkResponse = Response<Incoming>;
@@ -110,29 +111,67 @@
     }
 }
 
+/// Limits of a transfer of unknown length. It may take as long as it makes progress; a peer that
+/// stops sending, or sends a byte now and then, ends it.
+#[derive(Debug, Clone, Copy)]
+pub struct TransferLimits {
+    /// Maximum size of the body.
+    pub max_bytes: usize,
+    /// Time within which `min_progress_bytes` or the end must arrive, each time anew.
+    pub progress_interval: Duration,
+    /// Bytes that must arrive in `progress_interval`.
+    pub min_progress_bytes: usize,
+}
+
 /// Reads a body to its end. Fails if the body is truncated or longer than `limit_bytes`.
-pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
-    read_body_observed(body, limit_bytes, |_| {}).await
+pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
+    let mut content = BytesMut::new();
+    while let Some(chunk) = next_chunk(&mut body).await? {
+        append(&mut content, &chunk, limit_bytes)?;
+    }
+    Ok(content.freeze())
 }
 
-/// Reads a body like [`read_body`], and reports the number of bytes received so far after each part.
-pub async fn read_body_observed(
+/// Reads a body to its end while it makes progress, and reports the number of bytes received so far
+/// after each part.
+pub async fn read_transfer(
     mut body: Incoming,
-    limit_bytes: usize,
+    limits: TransferLimits,
     mut on_received: impl FnMut(usize),
 ) -> Result<Bytes, LinkError> {
     let mut content = BytesMut::new();
+    let (mut progress_until, mut progress_from) = (Instant::now() + limits.progress_interval, 0);
+    loop {
+        let stalled =
+            || LinkError::Unknown(format!("transfer stalled after {} bytes", content.len()));
+        let chunk = timeout_at(progress_until, next_chunk(&mut body)).await;
+        let Some(chunk) = chunk.map_err(|_| stalled())?? else {
+            return Ok(content.freeze());
+        };
+        append(&mut content, &chunk, limits.max_bytes)?;
+        on_received(content.len());
+        if content.len() - progress_from >= limits.min_progress_bytes {
+            progress_until = Instant::now() + limits.progress_interval;
+            progress_from = content.len();
+        }
+    }
+}
+
+/// Next part of a body; `None` at its end.
+async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, LinkError> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| LinkError::Unknown(error.to_string()))?;
         if let Ok(chunk) = frame.into_data() {
-            if content.len() + chunk.len() > limit_bytes {
-                return Err(LinkError::Unknown(format!(
-                    "body exceeds the limit of {limit_bytes} bytes"
-                )));
-            }
-            content.extend_from_slice(&chunk);
-            on_received(content.len());
+            return Ok(Some(chunk));
         }
     }
-    Ok(content.freeze())
+    Ok(None)
+}
+
+fn append(content: &mut BytesMut, chunk: &[u8], limit_bytes: usize) -> Result<(), LinkError> {
+    if content.len() + chunk.len() > limit_bytes {
+        return Err(LinkError::Unknown(format!("body exceeds the limit of {limit_bytes} bytes")));
+    }
+    content.extend_from_slice(chunk);
+    Ok(())
 }
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -8,6 +8,7 @@
 mod pool;
 
 pub use connection::{
-    Connection, LinkError, LinkResponse, Timeouts, connect, read_body, read_body_observed,
+    Connection, LinkError, LinkResponse, Timeouts, TransferLimits, connect, read_body,
+    read_transfer,
 };
 pub use pool::Pool;
