--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -24,6 +24,12 @@
 }
 
 impl RequestMetadata {
+    /// Ids of the prompt's parts without the last, which belongs to the request or its session.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let count = self.prompt_parts.len().saturating_sub(1);
+        self.prompt_parts.iter().take(count).map(|part| part.id)
+    }
+
     /// Expected number of output tokens: the caller's estimate, capped at its maximum.
     pub fn expected_output_tokens(&self) -> u32 {
         self.output_estimate
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -14,7 +14,7 @@
 use super::slot_guard::SlotGuard;
 use super::state::{Shared, UPSTREAM_TIMEOUTS};
 use crate::header_codec::AttemptMetadata;
-use crate::model::ResponseMetadata;
+use crate::model::{RequestMetadata, ResponseMetadata};
 use crate::retry::AttemptResult;
 use crate::scheduler::AttemptOutcome;
 
@@ -223,8 +223,11 @@
     ) {
         let instance = slot.upstream().instance.clone();
         warn!(
-            "upstream.failed id={} instance={instance} reason={reason:?}",
-            admitted.metadata.attempt_id
+            "upstream.failed id={} route={} instance={instance} reason={reason:?} begun={} parts={}",
+            admitted.metadata.attempt_id,
+            admitted.route.name,
+            slot.has_begun(),
+            describe_shared_parts(&admitted.metadata),
         );
         slot.release(AttemptOutcome::Failed);
     }
@@ -254,3 +257,9 @@
         .await
         .unwrap_or_else(|_| Err(LinkError::Unknown("deadline passed".to_owned())))
 }
+
+/// Ids of the parts that other prompts may share, for the log.
+fn describe_shared_parts(metadata: &RequestMetadata) -> String {
+    let ids: Vec<String> = metadata.shared_parts().map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
--- a/components/gateway/src/runtime/slot_guard.rs
+++ b/components/gateway/src/runtime/slot_guard.rs
@@ -67,6 +67,11 @@
         self.record_activity();
     }
 
+    /// Whether the upstream has begun to answer: a first event, or the head of a plain response.
+    pub(super) fn has_begun(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     /// Records further events of a stream, and returns the pause before them.
     pub(super) fn record_events(&mut self, tokens: u32) -> Duration {
         let now = self.shared.clock.now();
