Limit transfers from the key-value service by progress as well

The test reads 600 kB over a link of 200 kB/s and failed with 'request timed out'.

Change: the limits of a transfer by progress move into a module of their own and hold here too. Seen and not changed: a query to a peer may take 250 ms and a whole document from a peer 3 s; the store has what does not fit into that. Request bodies and responses of upstreams end at the request's deadline, which is their meaning.

--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -13,7 +13,9 @@
 use log::debug;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
+
+use crate::transfer::{TransferLimits, TransferProgress};
 
 /// Response head with a body that has not been read yet.
 pub type LinkResponse = Response<Incoming>;
@@ -111,18 +113,6 @@
     }
 }
 
-/// Limits of a transfer of unknown length. It may take as long as it makes progress; a peer that
-/// stops sending, or sends a byte now and then, ends it.
-#[derive(Debug, Clone, Copy)]
-pub struct TransferLimits {
-    /// Maximum size of the body.
-    pub max_bytes: usize,
-    /// Time within which `min_progress_bytes` or the end must arrive, each time anew.
-    pub progress_interval: Duration,
-    /// Bytes that must arrive in `progress_interval`.
-    pub min_progress_bytes: usize,
-}
-
 /// Reads a body to its end. Fails if the body is truncated or longer than `limit_bytes`.
 pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
     let mut content = BytesMut::new();
@@ -140,20 +130,15 @@
     mut on_received: impl FnMut(usize),
 ) -> Result<Bytes, LinkError> {
     let mut content = BytesMut::new();
-    let (mut progress_until, mut progress_from) = (Instant::now() + limits.progress_interval, 0);
+    let mut progress = TransferProgress::begin(limits);
     loop {
-        let stalled =
-            || LinkError::Unknown(format!("transfer stalled after {} bytes", content.len()));
-        let chunk = timeout_at(progress_until, next_chunk(&mut body)).await;
-        let Some(chunk) = chunk.map_err(|_| stalled())?? else {
+        let chunk = timeout_at(progress.stalls_at(), next_chunk(&mut body)).await;
+        let Some(chunk) = chunk.map_err(|_| LinkError::Unknown(progress.describe_stall()))?? else {
             return Ok(content.freeze());
         };
         append(&mut content, &chunk, limits.max_bytes)?;
+        progress.record(chunk.len());
         on_received(content.len());
-        if content.len() - progress_from >= limits.min_progress_bytes {
-            progress_until = Instant::now() + limits.progress_interval;
-            progress_from = content.len();
-        }
     }
 }
 
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -6,9 +6,10 @@
 
 mod connection;
 mod pool;
+mod transfer;
 
 pub use connection::{
-    Connection, LinkError, LinkResponse, Timeouts, TransferLimits, connect, read_body,
-    read_transfer,
+    Connection, LinkError, LinkResponse, Timeouts, connect, read_body, read_transfer,
 };
 pub use pool::Pool;
+pub use transfer::{TransferLimits, TransferProgress};
--- a/components/peers/src/fetch.rs
+++ b/components/peers/src/fetch.rs
@@ -17,8 +17,8 @@
 
 use crate::connections::Connections;
 
-/// Longest time to transfer a configuration from a source that has already replied to the query for
-/// its version.
+/// Longest time to transfer a configuration from a peer that has already replied to the query for its
+/// version. The store, which limits its transfers by progress, has what does not fit into it.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Fetches newer configurations from sources and installs them in this process.
@@ -53,7 +53,7 @@
         if index.version <= self.active_configuration.version() {
             return Ok(());
         }
-        let newer = timeout(TRANSFER_TIMEOUT, read_newer(&**store, active.as_deref())).await??;
+        let newer = read_newer(&**store, active.as_deref()).await?;
         if let Some(snapshot) = newer {
             self.install(snapshot, "store");
         }
--- a/components/store/src/http_store.rs
+++ b/components/store/src/http_store.rs
@@ -5,13 +5,24 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use link::TransferLimits;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use web::{Client, ClientError, Request};
 
 use crate::{KeyValueStore, LeaseId, Revision, StoreError, SwapResult, VersionedValue, WatchReply};
 
+/// Time until a response begins.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Limits on the transfer of a response. Parts of the configuration and lists of keys grow with the
+/// operators' use, so there is no limit on the whole transfer.
+const RESPONSE_LIMITS: TransferLimits = TransferLimits {
+    max_bytes: 64 << 20,
+    progress_interval: Duration::from_secs(2),
+    min_progress_bytes: 16 << 10,
+};
+
 const HTTP_OK: u16 = 200;
 const HTTP_NOT_FOUND: u16 = 404;
 const HTTP_CONFLICT: u16 = 409;
@@ -51,18 +62,17 @@
         request: Request,
         timeout: Duration,
     ) -> Result<(u16, Bytes), StoreError> {
-        let exchange = async {
-            let mut response = self.client.send(self.address, request, timeout).await?;
-            let body = response.read_body().await?;
-            Ok::<_, ClientError>((response.status, body))
+        let to_store_error = |error| match error {
+            ClientError::NotSent(reason) => StoreError::Unavailable(reason),
+            ClientError::Unknown(reason) => StoreError::Unknown(reason),
         };
-        let (status, body) = tokio::time::timeout(timeout, exchange)
+        let sent = self.client.send(self.address, request, timeout);
+        let mut response = tokio::time::timeout(timeout, sent)
             .await
             .map_err(|_| StoreError::Unknown("request timed out".to_owned()))?
-            .map_err(|error| match error {
-                ClientError::NotSent(reason) => StoreError::Unavailable(reason),
-                ClientError::Unknown(reason) => StoreError::Unknown(reason),
-            })?;
+            .map_err(to_store_error)?;
+        let body = response.read_transfer(RESPONSE_LIMITS).await.map_err(to_store_error)?;
+        let status = response.status;
         match status {
             HTTP_OK | HTTP_NOT_FOUND | HTTP_CONFLICT => Ok((status, body)),
             HTTP_TOO_MANY_REQUESTS => Err(StoreError::Throttled(THROTTLE_RETRY_AFTER)),
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -8,8 +8,10 @@
 use anyhow::{Result, anyhow};
 use bytes::Bytes;
 use futures_util::StreamExt;
+use link::{TransferLimits, TransferProgress};
 use ntex::time::Millis;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout_at;
 
 use crate::{Headers, Request};
 
@@ -65,6 +67,24 @@
         }
         Ok(content.into())
     }
+
+    /// Reads the body to its end while it makes progress.
+    pub async fn read_transfer(&mut self, limits: TransferLimits) -> Result<Bytes, ClientError> {
+        let mut content = Vec::new();
+        let mut progress = TransferProgress::begin(limits);
+        loop {
+            let chunk = timeout_at(progress.stalls_at(), self.body.recv()).await;
+            let chunk = chunk.map_err(|_| ClientError::Unknown(progress.describe_stall()))?;
+            let Some(chunk) = chunk else { return Ok(content.into()) };
+            let chunk = chunk?;
+            if content.len() + chunk.len() > limits.max_bytes {
+                let reason = format!("body exceeds the limit of {} bytes", limits.max_bytes);
+                return Err(ClientError::Unknown(reason));
+            }
+            progress.record(chunk.len());
+            content.extend_from_slice(&chunk);
+        }
+    }
 }
 
 /// Request for the client thread, with the channel for its response.
