Quarantine prompt parts under which engines end

Cause: an attempt that breaks says something only about the engine. Nothing connected the ends, which came at other engines and through other gateways, with what their requests had in common.

--- a/components/gateway/src/part_quarantine.rs
+++ b/components/gateway/src/part_quarantine.rs
@@ -5,11 +5,11 @@
 //! their other parts and their customers. Meanwhile engines also end for other reasons, many at once.
 //!
 //! An attempt that breaks before its first event is evidence against each shared part of its prompt;
-//! a stream that comes to its end clears them. A part is quarantined when attempts with it have broken
+//! a stream that goes on after its first event clears them. A part is quarantined when attempts with it have broken
 //! at several engines, one after the other and without a stream in between that would have cleared it.
 //! Gateways pool evidence in their digests. While requests with a quarantined part still come, one gateway
-//! sends one of them now and then, at growing intervals; a stream that it completes ends the
-//! quarantine everywhere, and so does a time without such requests.
+//! sends one of them now and then, at growing intervals; if an engine answers it, the quarantine ends
+//! everywhere. It also ends after a time without such requests.
 
 use std::collections::{HashMap, VecDeque};
 use std::num::NonZeroUsize;
@@ -34,9 +34,9 @@
 /// Time for which evidence counts, so that a part that is seldom used can still be found.
 const EVIDENCE_VALIDITY: Duration = Duration::from_secs(60);
 
-/// Time for which a completed stream speaks against later evidence: the engines of a common part may
-/// all end before the next stream with it does.
-const SOUND_VALIDITY: Duration = Duration::from_secs(3);
+/// Time for which an answer speaks against later evidence. When many engines end for another reason,
+/// several attempts with a common part may break before an engine answers the next one.
+const SOUND_VALIDITY: Duration = Duration::from_secs(10);
 
 /// Time for which news are repeated in digests; covers the loss of two digests to other zones.
 const NEWS_VALIDITY: Duration = Duration::from_secs(3);
@@ -97,6 +97,15 @@
     pub quarantined: Vec<QuarantinedPart>,
 }
 
+/// Effect of another gateway's news.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartChanges {
+    /// Parts that are quarantined now.
+    pub quarantined: Vec<PartId>,
+    /// Parts that are no longer quarantined.
+    pub cleared: Vec<PartId>,
+}
+
 /// Whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PartDecision {
@@ -211,8 +220,9 @@
         found
     }
 
-    /// Records a stream that came to its end. Returns the parts that are no longer quarantined.
-    pub fn record_served(
+    /// Records that an engine goes on answering a request after its first event. Returns the parts that
+    /// are no longer quarantined.
+    pub fn record_answered(
         &mut self,
         parts: impl IntoIterator<Item = PartId>,
         now: Instant,
@@ -231,9 +241,9 @@
         cleared
     }
 
-    /// Whether a stream with the part has come to its end since `at`, or shortly before.
+    /// Whether an engine has answered a request with the part since `at`, or shortly before.
     fn is_sound(&self, part: PartId, at: Instant) -> bool {
-        self.sound.peek(&part).is_some_and(|served_at| at <= *served_at + SOUND_VALIDITY)
+        self.sound.peek(&part).is_some_and(|answered_at| at <= *answered_at + SOUND_VALIDITY)
     }
 
     fn tell_sound(&mut self, part: PartId, now: Instant) {
@@ -313,8 +323,8 @@
         }
     }
 
-    /// Applies what another gateway tells. Returns the parts that are quarantined by it.
-    pub fn apply_news(&mut self, news: &PartNews, now: Instant) -> Vec<PartId> {
+    /// Applies what another gateway tells.
+    pub fn apply_news(&mut self, news: &PartNews, now: Instant) -> PartChanges {
         let mut found = Vec::new();
         for BrokenPart { part, upstream, ms_ago } in &news.broken {
             let ago = Duration::from_millis((*ms_ago).into());
@@ -343,12 +353,14 @@
                 }
             }
         }
+        let mut cleared = Vec::new();
         for part in &news.sound {
             self.sound.put(*part, now);
             self.suspects.pop(part);
-            self.quarantined.remove(part);
+            if self.quarantined.remove(part).is_some() {
+                cleared.push(*part);
+            }
         }
-        found.retain(|part| self.quarantined.contains_key(part));
-        found
+        PartChanges { quarantined: found, cleared }
     }
 }
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::PeerId;
+use crate::part_quarantine::PartNews;
 
 /// State of the store as known to a gateway. Each digest is self-contained, so that a lost one only
 /// makes the receiver's knowledge older.
@@ -24,6 +25,8 @@
     pub confirmed_ms_ago: Option<u32>,
     /// Whether the sender is receiving a long response of the store.
     pub receiving: bool,
+    /// What the sender knows of prompt parts under which engines end.
+    pub part_news: PartNews,
     /// Newest digests that the sender has received from gateways of its zone, by sequence number.
     pub acknowledged: Vec<(PeerId, u32)>,
 }
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -229,6 +229,7 @@
             slot.has_begun(),
             describe_shared_parts(&admitted.metadata),
         );
+        self.record_failed_parts(admitted, slot);
         slot.release(AttemptOutcome::Failed);
     }
 
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -9,6 +9,7 @@
 
 use super::admission::{AdmittedRequest, clamp_retry_after, max_retry_after};
 use super::attempt::{SendResult, StartedResponse, read_body};
+use super::parts::PartCheck;
 use super::relay::{Relay, RelayStart};
 use super::response::CallerResponse;
 use super::slot_guard::SlotGuard;
@@ -122,8 +123,15 @@
     admitted: &AdmittedRequest,
     attempts: &Attempts,
 ) -> Result<SlotGuard, Refusal> {
+    let check = shared.check_parts(admitted)?;
     let rejection = match slots::acquire(shared, attempt_job(admitted, attempts)).await {
-        Ok(slot) => return Ok(slot),
+        Ok(slot) => {
+            // A part may have been quarantined while the request waited.
+            if check != PartCheck::Tests {
+                shared.check_parts(admitted)?;
+            }
+            return Ok(slot);
+        }
         Err(rejection) => rejection,
     };
     let now = shared.clock.now();
--- a/components/gateway/src/runtime/internal_server.rs
+++ b/components/gateway/src/runtime/internal_server.rs
@@ -25,6 +25,7 @@
         let waiting_requests = self.pending_slot_requests.borrow().len();
         let gateways = self.peers.borrow().gateway_count();
         self.metrics.set_load(open_requests, waiting_requests, gateways);
+        self.metrics.set_quarantined_parts(self.part_quarantine.borrow().quarantined_count());
         Response::build(StatusCode::OK)
             .content_type("text/plain; version=0.0.4")
             .body(self.metrics.render())
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -20,6 +20,7 @@
     open_requests: IntGauge,
     waiting_requests: IntGauge,
     gateways: IntGauge,
+    quarantined_parts: IntGauge,
     slot_replies: IntCounterVec,
     pub(super) upstream_connections: IntCounter,
 }
@@ -58,7 +59,15 @@
         )?;
         registry.register(Box::new(responses.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
-        for gauge in [&configuration_version, &open_requests, &waiting_requests, &gateways] {
+        let quarantined_parts =
+            gauge("quarantined_parts", "Prompt parts whose requests are refused")?;
+        for gauge in [
+            &configuration_version,
+            &open_requests,
+            &waiting_requests,
+            &gateways,
+            &quarantined_parts,
+        ] {
             registry.register(Box::new(gauge.clone()))?;
         }
         registry.register(Box::new(slot_replies.clone()))?;
@@ -71,6 +80,7 @@
             open_requests,
             waiting_requests,
             gateways,
+            quarantined_parts,
             slot_replies,
             upstream_connections,
         })
@@ -88,6 +98,10 @@
         self.slot_replies.with_label_values(&[reply]).inc();
     }
 
+    pub(super) fn set_quarantined_parts(&self, count: usize) {
+        self.quarantined_parts.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_configuration_version(&self, version: u64) {
         self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -12,6 +12,7 @@
 mod internal_server;
 mod log_fields;
 mod metrics;
+mod parts;
 mod peer_reads;
 mod peer_socket;
 mod readiness;
--- a/components/gateway/src/runtime/parts.rs
+++ b/components/gateway/src/runtime/parts.rs
@@ -61,19 +61,23 @@
         }
     }
 
-    /// Records a stream that came to its end.
-    pub(super) fn record_served_parts(&self, admitted: &AdmittedRequest) {
+    /// Records that an engine goes on answering after its first event.
+    pub(super) fn record_answered_parts(&self, admitted: &AdmittedRequest) {
         let parts = admitted.metadata.shared_parts();
-        let cleared = self.part_quarantine.borrow_mut().record_served(parts, self.clock.now());
+        let cleared = self.part_quarantine.borrow_mut().record_answered(parts, self.clock.now());
         for part in cleared {
-            info!("part.cleared part={part:x}");
+            info!("part.cleared part={part:x} by=own");
         }
     }
 
+    /// Applies what another gateway knows of prompt parts.
     pub(super) fn handle_part_news(&self, from: PeerId, news: &PartNews) {
-        let found = self.part_quarantine.borrow_mut().apply_news(news, self.clock.now());
-        for part in found {
+        let changes = self.part_quarantine.borrow_mut().apply_news(news, self.clock.now());
+        for part in changes.quarantined {
             warn!("part.quarantined part={part:x} by={from}");
         }
+        for part in changes.cleared {
+            info!("part.cleared part={part:x} by={from}");
+        }
     }
 }
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -28,6 +28,9 @@
 /// times longer for its next event.
 const RESUME_WAIT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Number of events from which an engine counts as having survived the beginning of its answer.
+const ANSWERED_EVENTS: u32 = 2;
+
 /// An event stream that is being relayed. Dropping it closes the connection to the upstream.
 pub(super) struct Relay {
     shared: SharedRef,
@@ -206,7 +209,11 @@
     fn record_events(&mut self, events: &[u8]) {
         self.last_id = last_event_id(events).or(self.last_id);
         let count = count_events(events);
+        let before = self.event_count;
         self.event_count += count;
+        if before < ANSWERED_EVENTS && self.event_count >= ANSWERED_EVENTS {
+            self.shared.record_answered_parts(&self.admitted);
+        }
         if self.first_event_at.is_none() {
             self.first_event_at = Some(self.shared.clock.now());
             self.slot.record_first_event();
@@ -221,6 +228,9 @@
             self.shared.keep_connection(&self.slot, response.connection, &response.metadata);
         }
         self.slot.release(AttemptOutcome::Served);
+        if (1..ANSWERED_EVENTS).contains(&self.event_count) {
+            self.shared.record_answered_parts(&self.admitted);
+        }
         self.log_stream_end("complete");
     }
 
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -24,6 +24,7 @@
 use crate::freshness::Freshness;
 use crate::header_codec::HeaderCodec;
 use crate::model::{Allowance, CallerLimits, PeerId, ServiceId, Upstream, UpstreamId};
+use crate::part_quarantine::PartQuarantine;
 use crate::peers::Peers;
 use crate::reachability::Reachability;
 use crate::read_schedule::ReadSchedule;
@@ -110,6 +111,8 @@
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
     pub(super) read_schedule: RefCell<ReadSchedule>,
+    /// Prompt parts under which engines end.
+    pub(super) part_quarantine: RefCell<PartQuarantine>,
     /// What this gateway knows from the store, for others that know less.
     pub(super) store_copy: RefCell<StoreCopy>,
     /// Changes between two positions as last sent to a peer, since a zone asks for the same ones.
@@ -166,6 +169,7 @@
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             read_schedule: RefCell::default(),
+            part_quarantine: RefCell::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
             due_peer_read: Cell::default(),
@@ -294,6 +298,7 @@
             peers.expire_departed(now);
             self.peer_health.borrow_mut().retain(|id| peers.is_member(id));
         }
+        self.part_quarantine.borrow_mut().expire(now);
         self.pool.evict_expired(now);
         self.update_store_lag();
         self.update_leaving();
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::broker::Message;
+use gateway::part_quarantine::PartNews;
 use gateway::peers::{Digest, Member, Peers, Recipients};
 
 fn member(id: u64, port: u16) -> Member {
@@ -61,6 +62,7 @@
         position: Some(70),
         confirmed_ms_ago: Some(120),
         receiving: true,
+        part_news: PartNews::default(),
         acknowledged: vec![(1, 2)],
     };
     let message = Message::Digest(digest);
