Tell the eras of a store apart that comes back from an older copy

Cause of what the tests show on the code before: positions in the store's history were numbers that only rise. A read with a lower revision was taken for an old one and not applied, and a watch from a revision that had been given out again missed the changes before it. A gateway that had not heard of the restore looked ahead of those that had. Upstreams that the copy lacks were dropped at once, and a lease whose id was given out to another process was renewed, while the own entry was gone.

--- a/components/gateway/src/model/mod.rs
+++ b/components/gateway/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Data model of the gateway: configuration, upstreams and request metadata.
 
 mod configuration;
+mod position;
 mod request;
 mod upstream;
 
@@ -11,6 +12,7 @@
     Allowance, AllowanceUnit, CallerLimits, Configuration, Customer, Engine, Route, RouteKind,
     Target,
 };
+pub use position::{ParsePositionError, Position};
 pub use request::{PromptPart, RequestMetadata, ResponseMetadata};
 pub(crate) use upstream::Distance;
 pub use upstream::{InstanceId, ServiceId, Topology, Upstream, UpstreamId};
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::PeerId;
+use crate::model::{PeerId, Position};
 use crate::part_quarantine::PartNews;
 
 /// State of the store as known to a gateway. Each digest is self-contained, so that a lost one only
@@ -20,7 +20,7 @@
     /// Fingerprint of the store's state as known to the sender.
     pub fingerprint: u64,
     /// Position in the store's history up to which the sender knows the state.
-    pub position: Option<u64>,
+    pub position: Option<Position>,
     /// Milliseconds since the store confirmed that state.
     pub confirmed_ms_ago: Option<u32>,
     /// Whether the sender is receiving a long response of the store.
--- a/components/gateway/src/read_schedule.rs
+++ b/components/gateway/src/read_schedule.rs
@@ -14,12 +14,15 @@
 //! of them read it from the store, the link would be full for seconds. A gateway that is behind a peer of
 //! its zone therefore asks that peer, and none reads while another one of its zone receives a long
 //! response.
+//!
+//! Load pattern: a store that comes back from an older copy. Positions are compared by era first, so a gateway
+//! that has not heard of it does not count as ahead of those that have.
 
 use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::model::PeerId;
+use crate::model::{PeerId, Position};
 
 /// Age of the last confirmation at which a gateway reads. A change reaches the first gateway of a
 /// zone within this time and the others one digest later, well within the seconds that changes may
@@ -80,7 +83,7 @@
     /// Whether the peer's fingerprint equals that of this gateway.
     pub same_fingerprint: bool,
     /// Position in the store's history up to which the peer knows the state.
-    pub position: Option<u64>,
+    pub position: Option<Position>,
 }
 
 /// Store reads of this gateway and its peers. All times are uptimes.
@@ -90,7 +93,7 @@
     last_read_at: Option<Duration>,
     /// Position in the store's history up to which this gateway knows the state, by its own reads
     /// or by those of peers that know the same state. The next read continues there.
-    position: Option<u64>,
+    position: Option<Position>,
     /// Difference from the state of peers, noticed since the last read.
     mismatch: Option<Mismatch>,
     /// Whether this gateway reads from a peer that is ahead.
@@ -126,7 +129,7 @@
 
     /// Records that this gateway has read the store. `queried_at` is the uptime at which the
     /// request was sent, `position` that up to which the store's history was read.
-    pub fn record_read(&mut self, queried_at: Duration, position: u64) {
+    pub fn record_read(&mut self, queried_at: Duration, position: Position) {
         self.last_read_at = Some(queried_at);
         self.position = Some(position);
         self.mismatch = None;
@@ -171,18 +174,18 @@
 
     /// Position in the store's history up to which this gateway knows the state; `None` before the
     /// first read.
-    pub fn position(&self) -> Option<u64> {
+    pub fn position(&self) -> Option<Position> {
         self.position
     }
 
     /// Whether a peer's read that covers the store's history from `after` to `position` continues
     /// where this gateway's knowledge ends.
-    pub fn continues(&self, after: u64, position: u64) -> bool {
+    pub fn continues(&self, after: Position, position: Position) -> bool {
         self.position.is_some_and(|known| known >= after && known < position)
     }
 
     /// Records that a peer's read up to `position` was applied.
-    pub fn record_shared_read(&mut self, position: u64) {
+    pub fn record_shared_read(&mut self, position: Position) {
         self.position = self.position.max(Some(position));
         self.mismatch = None;
     }
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -9,7 +9,7 @@
 use super::state::{ActiveConfiguration, Shared};
 use crate::allowance::CustomerId;
 use crate::customers::CustomerKeys;
-use crate::model::{Configuration, Customer, Upstream};
+use crate::model::{Configuration, Customer, Position, Upstream};
 use crate::peers::{Candidate, Member};
 use crate::routes::RouteTable;
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
@@ -51,14 +51,14 @@
         );
     }
 
-    fn confirm(&self, queried_at: Duration, position: u64) {
+    fn confirm(&self, queried_at: Duration, position: Position) {
         self.apply_upstream_changes();
         self.read_schedule.borrow_mut().record_read(queried_at, position);
         self.record_confirmation(queried_at);
         self.announce_read();
     }
 
-    fn known_position(&self) -> Option<u64> {
+    fn known_position(&self) -> Option<Position> {
         self.read_schedule.borrow().position()
     }
 
@@ -87,7 +87,7 @@
         self.read_schedule.borrow_mut().record_progress(self.clock.uptime());
     }
 
-    fn record_all(&self, items: Vec<SharedChange>, position: u64) {
+    fn record_all(&self, items: Vec<SharedChange>, position: Position) {
         self.store_copy.borrow_mut().replace_all(items, position);
     }
 
@@ -107,7 +107,7 @@
         *self.shared_read_receiver.borrow_mut() = Some(receiver);
     }
 
-    fn apply_shared_read(&self, position: u64) {
+    fn apply_shared_read(&self, position: Position) {
         self.apply_upstream_changes();
         self.read_schedule.borrow_mut().record_shared_read(position);
     }
@@ -129,6 +129,11 @@
         self.update_candidates();
     }
 
+    fn mark_store_restored(&self, era: u64) {
+        self.upstream_table.borrow_mut().mark_store_restored(self.clock.now());
+        info!("store.restored era={era}");
+    }
+
     fn mark_store_lost(&self, reason: &str) {
         self.upstream_table.borrow_mut().mark_store_lost();
         let age_ms = self.confirmation_age_ms();
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -34,7 +34,7 @@
 
 use crate::Settings;
 use crate::header_codec::HeaderCodec;
-use crate::model::{Configuration, Upstream};
+use crate::model::{Configuration, Position, Upstream};
 use crate::peers::Member;
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
 use state::Shared;
@@ -67,10 +67,10 @@
     /// Confirms that the store holds nothing newer than what was reported, and applies all reported
     /// upstream changes together. `queried_at` is the uptime at which the store was queried,
     /// `position` the position in its history up to which it was read.
-    fn confirm(&self, queried_at: Duration, position: u64);
+    fn confirm(&self, queried_at: Duration, position: Position);
     /// Position in the store's history up to which this gateway knows the state, by its own reads or
     /// by those of peers that know the same state.
-    fn known_position(&self) -> Option<u64>;
+    fn known_position(&self) -> Option<Position>;
     /// Whether a read of the store is due.
     fn is_read_due(&self) -> bool;
     /// Adds or updates an upstream that announced itself. Returns whether it was not known like
@@ -81,18 +81,20 @@
     /// Records that a part of a long response of the store has arrived.
     fn record_progress(&self);
     /// Keeps everything that the store holds at a position, for other gateways of the zone.
-    fn record_all(&self, items: Vec<SharedChange>, position: u64);
+    fn record_all(&self, items: Vec<SharedChange>, position: Position);
     /// Keeps what was read from the store, and passes it on to the other gateways of the zone.
     fn share_read(&self, read: SharedRead);
     /// Sets the receiver of reads that other gateways of the zone pass on.
     fn set_shared_read_receiver(&self, receiver: Rc<dyn SharedReadReceiver>);
     /// Applies the upstream changes of a read that another gateway passed on, and records that the
     /// state is known up to `position` in the store's history.
-    fn apply_shared_read(&self, position: u64);
+    fn apply_shared_read(&self, position: Position);
     /// Replaces all upstreams by those announced in the store.
     fn replace_upstreams(&self, listed: Vec<Upstream>);
     /// Replaces the members by the gateways registered in the store.
     fn set_members(&self, members: Vec<Member>);
+    /// Records that the store has come back from an older copy, before what it holds now is reported.
+    fn mark_store_restored(&self, era: u64);
     /// Records that the store cannot be reached.
     fn mark_store_lost(&self, reason: &str);
     /// Records that the store can be reached again.
--- a/components/gateway/src/runtime/peer_reads.rs
+++ b/components/gateway/src/runtime/peer_reads.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::state::{Shared, SharedRef};
-use crate::model::PeerId;
+use crate::model::{PeerId, Position};
 use crate::store_copy::MissingChanges;
 
 /// Path of the changes after a position, which the query names.
@@ -85,7 +85,7 @@
 
     /// Answers a gateway that asks for the changes after a position.
     pub(super) fn answer_peer_read(&self, query: &str) -> Response {
-        let after = query.strip_prefix("after=").and_then(|after| after.parse().ok());
+        let after = query.strip_prefix("after=").and_then(|after| after.parse::<Position>().ok());
         let Some(after) = after else { return Response::new(StatusCode::BAD_REQUEST) };
         let Some(position) = self.read_schedule.borrow().position() else {
             return Response::new(StatusCode::NO_CONTENT);
@@ -111,7 +111,7 @@
     }
 }
 
-async fn request_changes(address: SocketAddr, after: u64) -> Result<Bytes> {
+async fn request_changes(address: SocketAddr, after: Position) -> Result<Bytes> {
     let request = http::Request::builder()
         .uri(format!("{PATH}?after={after}"))
         .header(header::HOST, address.to_string())
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -23,7 +23,7 @@
 use crate::customers::CustomerKeys;
 use crate::freshness::Freshness;
 use crate::header_codec::HeaderCodec;
-use crate::model::{Allowance, CallerLimits, PeerId, ServiceId, Upstream, UpstreamId};
+use crate::model::{Allowance, CallerLimits, PeerId, Position, ServiceId, Upstream, UpstreamId};
 use crate::part_quarantine::PartQuarantine;
 use crate::peers::Peers;
 use crate::reachability::Reachability;
@@ -116,7 +116,7 @@
     /// What this gateway knows from the store, for others that know less.
     pub(super) store_copy: RefCell<StoreCopy>,
     /// Changes between two positions as last sent to a peer, since a zone asks for the same ones.
-    pub(super) encoded_changes: RefCell<Option<(u64, u64, Bytes)>>,
+    pub(super) encoded_changes: RefCell<Option<(Position, Position, Bytes)>>,
     /// Peer from which the next read is due.
     pub(super) due_peer_read: Cell<Option<PeerId>>,
     pub(super) peer_read_notify: Notify,
--- a/components/gateway/src/shared_read.rs
+++ b/components/gateway/src/shared_read.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::model::Position;
+
 /// Largest size of keys and values that are passed on together, in bytes, so that they fit into a
 /// datagram.
 const MAX_SHARED_BYTES: usize = 24 << 10;
@@ -17,7 +19,7 @@
     /// Value; `None` if the key was removed.
     pub value: Option<Vec<u8>>,
     /// Position of the change in the store's history.
-    pub position: u64,
+    pub position: Position,
 }
 
 impl SharedChange {
@@ -30,9 +32,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedRead {
     /// Position after which the changes follow.
-    pub after: u64,
+    pub after: Position,
     /// Position up to which they are complete.
-    pub position: u64,
+    pub position: Position,
     /// The changes, in their order.
     pub changes: Vec<SharedChange>,
 }
--- a/components/gateway/src/store_copy.rs
+++ b/components/gateway/src/store_copy.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::model::Position;
 use crate::shared_read::{SharedChange, SharedRead};
 
 /// Maximum number of removed keys that are remembered. A gateway whose position is before the removals
@@ -29,14 +30,14 @@
 pub struct StoreCopy {
     changes: BTreeMap<String, SharedChange>,
     /// Removed keys, the oldest removal first.
-    removals: VecDeque<(u64, String)>,
+    removals: VecDeque<(Position, String)>,
     /// Position after which all removals are known.
-    complete_after: u64,
+    complete_after: Position,
 }
 
 impl StoreCopy {
     /// Replaces the copy by all keys of the store at a position.
-    pub fn replace_all(&mut self, items: Vec<SharedChange>, position: u64) {
+    pub fn replace_all(&mut self, items: Vec<SharedChange>, position: Position) {
         self.changes = items.into_iter().map(|item| (item.key.clone(), item)).collect();
         self.removals.clear();
         self.complete_after = position;
@@ -67,7 +68,7 @@
 
     /// What a gateway that knows the store up to `after` does not know, if this one knows it up to
     /// `position`; `None` if that is nothing.
-    pub fn changes_after(&self, after: u64, position: u64) -> Option<MissingChanges> {
+    pub fn changes_after(&self, after: Position, position: Position) -> Option<MissingChanges> {
         if after >= position {
             return None;
         }
--- a/components/gateway/src/upstream_table.rs
+++ b/components/gateway/src/upstream_table.rs
@@ -1,4 +1,7 @@
 //! Table of usable upstreams, built from the store's announcements and kept through store outages.
+//!
+//! Load pattern: a store that comes back without announcements of upstreams that run, because their leases
+//! ended meanwhile or because it was restored from an older copy.
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
@@ -116,6 +119,12 @@
         }
     }
 
+    /// Records that the store has come back from an older copy: announcements that it lacks are
+    /// written again if their upstreams still run.
+    pub fn mark_store_restored(&mut self, now: Instant) {
+        self.rejoin_until = Some(now + REJOIN_GRACE);
+    }
+
     /// Removes upstreams that were not announced again within the grace period after a store
     /// outage.
     pub fn expire_missing(&mut self, now: Instant) -> UpstreamTableChange {
--- a/components/gateway/tests/message.rs
+++ b/components/gateway/tests/message.rs
@@ -4,7 +4,7 @@
 
 use gateway::allowance::{BucketLevel, CreditReply, CreditRequest, CustomerId};
 use gateway::broker::{Message, SlotReply, WireJob};
-use gateway::model::{ServiceId, UpstreamId};
+use gateway::model::{Position, ServiceId, UpstreamId};
 use gateway::scheduler::{AttemptOutcome, Observation, Priority, RouteId};
 use gateway::shared_read::{SharedChange, SharedRead};
 
@@ -72,9 +72,13 @@
         Message::SharedRead {
             from: GATEWAY_B,
             read: SharedRead {
-                after: 4,
-                position: 9,
-                changes: vec![SharedChange { key: "k".to_owned(), value: None, position: 6 }],
+                after: Position { era: 2, revision: 4 },
+                position: Position { era: 2, revision: 9 },
+                changes: vec![SharedChange {
+                    key: "k".to_owned(),
+                    value: None,
+                    position: Position { era: 2, revision: 6 },
+                }],
             },
         },
     ];
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::broker::Message;
+use gateway::model::Position;
 use gateway::part_quarantine::PartNews;
 use gateway::peers::{Digest, Member, Peers, Recipients};
 
@@ -59,7 +60,7 @@
         leaving: true,
         version: 41,
         fingerprint: 3,
-        position: Some(70),
+        position: Some(Position { era: 1, revision: 70 }),
         confirmed_ms_ago: Some(120),
         receiving: true,
         part_news: PartNews::default(),
--- a/components/gateway/tests/read_schedule.rs
+++ b/components/gateway/tests/read_schedule.rs
@@ -3,9 +3,14 @@
 use std::time::Duration;
 
 use gateway::freshness::Freshness;
+use gateway::model::Position;
 use gateway::read_schedule::{PeerRead, ReadSchedule};
 use gateway::store_lag::StoreLag;
 
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
@@ -49,7 +54,7 @@
         acknowledged: Some(1),
         age: Some(ms(100)),
         same_fingerprint: true,
-        position: Some(90),
+        position: Some(at(90)),
     };
     // Whenever the digest is handled, its age counts back from the time that our acknowledged
     // digest was sent.
@@ -64,7 +69,7 @@
 fn no_read_is_due_while_peers_confirm_the_state() {
     let mut read_schedule = ReadSchedule::default();
     assert!(read_schedule.is_due(None, 0, ms(0)), "nothing has been read yet");
-    read_schedule.record_read(ms(1_000), 70);
+    read_schedule.record_read(ms(1_000), at(70));
     assert!(!read_schedule.is_due(Some(ms(300)), 0, ms(3_000)));
     assert!(
         read_schedule.is_due(Some(ms(1_500)), 0, ms(3_000)),
@@ -79,7 +84,7 @@
 #[test]
 fn a_peer_with_newer_state_makes_a_read_due() {
     let mut read_schedule = ReadSchedule::default();
-    read_schedule.record_read(ms(1_000), 70);
+    read_schedule.record_read(ms(1_000), at(70));
     read_schedule.record_digest_sent(1, ms(1_500));
     let peer_read = PeerRead {
         peer: 9,
@@ -87,7 +92,7 @@
         acknowledged: Some(1),
         age: Some(ms(100)),
         same_fingerprint: false,
-        position: Some(90),
+        position: Some(at(90)),
     };
     assert_eq!(
         read_schedule.apply_peer_read(peer_read, ms(1_600)),
@@ -95,14 +100,14 @@
         "it does not confirm our state"
     );
     assert!(read_schedule.is_due(Some(ms(100)), 0, ms(1_600)));
-    read_schedule.record_read(ms(1_600), 70);
+    read_schedule.record_read(ms(1_600), at(70));
     assert!(!read_schedule.is_due(Some(ms(0)), 0, ms(1_650)));
 }
 
 #[test]
 fn a_lasting_mismatch_does_not_cause_constant_reads() {
     let mut read_schedule = ReadSchedule::default();
-    read_schedule.record_read(ms(2_000), 70);
+    read_schedule.record_read(ms(2_000), at(70));
     read_schedule.record_digest_sent(1, ms(1_900));
     let peer_read = PeerRead {
         peer: 9,
@@ -110,7 +115,7 @@
         acknowledged: Some(1),
         age: Some(ms(500)),
         same_fingerprint: false,
-        position: Some(70),
+        position: Some(at(70)),
     };
     read_schedule.apply_peer_read(peer_read, ms(2_300));
     assert!(!read_schedule.is_due(Some(ms(100)), 0, ms(2_400)));
@@ -122,11 +127,11 @@
 #[test]
 fn a_peer_that_is_behind_makes_no_read_due() {
     let mut read_schedule = ReadSchedule::default();
-    read_schedule.record_read(ms(1_000), 70);
-    assert!(read_schedule.continues(70, 90) && read_schedule.continues(60, 90));
-    assert!(!read_schedule.continues(80, 90), "changes before are missing");
-    assert!(!read_schedule.continues(60, 70), "nothing new");
-    read_schedule.record_shared_read(90);
+    read_schedule.record_read(ms(1_000), at(70));
+    assert!(read_schedule.continues(at(70), at(90)) && read_schedule.continues(at(60), at(90)));
+    assert!(!read_schedule.continues(at(80), at(90)), "changes before are missing");
+    assert!(!read_schedule.continues(at(60), at(70)), "nothing new");
+    read_schedule.record_shared_read(at(90));
     read_schedule.record_digest_sent(1, ms(5_000));
     let behind = PeerRead {
         peer: 9,
@@ -134,7 +139,7 @@
         acknowledged: Some(1),
         age: Some(ms(100)),
         same_fingerprint: false,
-        position: Some(80),
+        position: Some(at(80)),
     };
     read_schedule.apply_peer_read(behind, ms(5_100));
     assert!(!read_schedule.is_due(Some(ms(100)), 0, ms(6_000)));
@@ -145,7 +150,7 @@
 #[test]
 fn gateways_that_are_behind_read_in_their_order() {
     let mut read_schedule = ReadSchedule::default();
-    read_schedule.record_read(ms(1_000), 70);
+    read_schedule.record_read(ms(1_000), at(70));
     read_schedule.record_unknown_peer(ms(2_000));
     let due_at =
         |rank: u32| (2_000..4_000).find(|at| read_schedule.is_due(Some(ms(100)), rank, ms(*at)));
@@ -159,7 +164,7 @@
 fn a_gateway_keeps_up_with_the_history_by_its_peers_reads() {
     let mut read_schedule = ReadSchedule::default();
     assert_eq!(read_schedule.position(), None);
-    read_schedule.record_read(ms(1_000), 70);
+    read_schedule.record_read(ms(1_000), at(70));
     read_schedule.record_digest_sent(1, ms(1_500));
     let peer_read = PeerRead {
         peer: 9,
@@ -167,14 +172,14 @@
         acknowledged: Some(1),
         age: Some(ms(100)),
         same_fingerprint: true,
-        position: Some(90),
+        position: Some(at(90)),
     };
     read_schedule.apply_peer_read(PeerRead { same_fingerprint: false, ..peer_read }, ms(1_600));
-    assert_eq!(read_schedule.position(), Some(70), "the peer knows another state");
+    assert_eq!(read_schedule.position(), Some(at(70)), "the peer knows another state");
     read_schedule.apply_peer_read(peer_read, ms(1_600));
-    assert_eq!(read_schedule.position(), Some(90));
-    read_schedule.apply_peer_read(PeerRead { position: Some(80), ..peer_read }, ms(1_600));
-    assert_eq!(read_schedule.position(), Some(90), "an older digest arrived late");
+    assert_eq!(read_schedule.position(), Some(at(90)));
+    read_schedule.apply_peer_read(PeerRead { position: Some(at(80)), ..peer_read }, ms(1_600));
+    assert_eq!(read_schedule.position(), Some(at(90)), "an older digest arrived late");
 }
 
 /// A gateway of a simulated zone.
@@ -205,7 +210,7 @@
         for (rank, gateway) in zone.iter_mut().enumerate() {
             let age = gateway.freshness.age(uptime);
             if gateway.read_schedule.is_due(age, rank as u32, uptime) {
-                gateway.read_schedule.record_read(uptime, step);
+                gateway.read_schedule.record_read(uptime, at(step));
                 gateway.freshness.confirm(uptime);
                 reads += 1;
                 senders.push(rank);
@@ -226,7 +231,7 @@
                     acknowledged: acknowledged[receiver],
                     age,
                     same_fingerprint: true,
-                    position: Some(90),
+                    position: Some(at(90)),
                 };
                 let gateway = &mut zone[receiver];
                 gateway.received[sender] = Some(sequence);
@@ -260,7 +265,7 @@
         acknowledged: Some(1),
         age: Some(ms(100)),
         same_fingerprint: false,
-        position: Some(90),
+        position: Some(at(90)),
     }
 }
 
@@ -270,8 +275,8 @@
 fn neighbours_read_a_large_configuration_from_the_store_while_one_receives_it() {
     let mut read_schedule = ReadSchedule::default();
     read_schedule.record_digest_sent(1, ms(1_000));
-    read_schedule.record_read(ms(1_000), 70);
-    let receiving = PeerRead { same_fingerprint: true, position: Some(70), ..ahead(true) };
+    read_schedule.record_read(ms(1_000), at(70));
+    let receiving = PeerRead { same_fingerprint: true, position: Some(at(70)), ..ahead(true) };
     for uptime in (2_000..4_000).step_by(200) {
         read_schedule.apply_peer_read(receiving, ms(uptime));
         let age = ms(uptime - 1_000);
@@ -293,12 +298,12 @@
 fn a_gateway_reads_from_the_store_what_a_peer_of_its_zone_has() {
     let mut read_schedule = ReadSchedule::default();
     read_schedule.record_digest_sent(1, ms(1_000));
-    read_schedule.record_read(ms(1_000), 70);
+    read_schedule.record_read(ms(1_000), at(70));
     read_schedule.apply_peer_read(ahead(false), ms(2_000));
     assert_eq!(read_schedule.begin_peer_read(), Some(9));
     assert_eq!(read_schedule.begin_peer_read(), None, "one read at a time");
     assert!(!read_schedule.is_due(Some(ms(1_900)), 0, ms(2_900)));
-    read_schedule.record_shared_read(90);
+    read_schedule.record_shared_read(at(90));
     read_schedule.end_peer_read(ms(3_000));
     assert!(!read_schedule.is_due(Some(ms(500)), 0, ms(3_000)));
 }
@@ -307,7 +312,7 @@
 fn a_gateway_waits_for_ever_for_a_peer_that_cannot_help() {
     let mut read_schedule = ReadSchedule::default();
     read_schedule.record_digest_sent(1, ms(1_000));
-    read_schedule.record_read(ms(1_000), 70);
+    read_schedule.record_read(ms(1_000), at(70));
     read_schedule.apply_peer_read(ahead(false), ms(2_000));
     assert_eq!(read_schedule.begin_peer_read(), Some(9));
     read_schedule.end_peer_read(ms(2_300));
@@ -316,3 +321,18 @@
     assert!(!read_schedule.is_due(Some(ms(500)), 6, ms(2_400)), "in the order of the ranking");
     assert!(read_schedule.is_due(Some(ms(500)), 6, ms(2_900)));
 }
+
+#[test]
+fn a_gateway_that_has_not_heard_of_a_restored_store_outvotes_those_that_have() {
+    let restored = Position { era: 1, revision: 40 };
+    let mut read_schedule = ReadSchedule::default();
+    read_schedule.record_digest_sent(1, ms(1_000));
+    read_schedule.record_read(ms(1_000), restored);
+    let earlier_era = PeerRead { position: Some(at(900)), ..ahead(false) };
+    read_schedule.apply_peer_read(earlier_era, ms(1_400));
+    assert_eq!(read_schedule.begin_peer_read(), None, "the peer is behind");
+    assert!(!read_schedule.continues(at(890), at(950)), "changes that the store has lost");
+    read_schedule.record_read(ms(2_000), at(900));
+    read_schedule.apply_peer_read(PeerRead { position: Some(restored), ..ahead(false) }, ms(2_400));
+    assert_eq!(read_schedule.begin_peer_read(), Some(9), "this gateway is behind");
+}
