--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! Gateway in front of upstreams that are reached without an agent in between.
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
-//! `part_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`, `upstream_table`, `read_schedule`, `retry`, `freshness`) do no I/O:
+//! `part_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`) do no I/O:
 //! they take facts and the current time and return decisions. `runtime` carries the decisions out
 //! on one thread. A platform adapter implements `HeaderCodec` and feeds `Directory`.
 
@@ -25,6 +25,7 @@
 pub mod shared_read;
 pub mod store_copy;
 pub mod store_lag;
+pub mod upstream_notices;
 pub mod upstream_table;
 
 pub use runtime::{BoundAddresses, Directory, Gateway, GatewayHandle};
--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -57,6 +57,8 @@
     pub not_run: bool,
     /// Whether the request was not run because another instance now has the address.
     pub other_instance: bool,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
     /// Whether the connection may be reused.
     pub keep_connection: bool,
     /// Time for which the upstream keeps an idle connection open.
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{PeerId, Position};
+use crate::model::{PeerId, Position, UpstreamId};
 use crate::part_quarantine::PartNews;
 
 /// State of the store as known to a gateway. Each digest is self-contained, so that a lost one only
@@ -27,6 +27,8 @@
     pub receiving: bool,
     /// What the sender knows of prompt parts under which engines end.
     pub part_news: PartNews,
+    /// Upstreams whose responses to the sender say that they leave.
+    pub leaving_upstreams: Vec<UpstreamId>,
     /// Newest digests that the sender has received from gateways of its zone, by sequence number.
     pub acknowledged: Vec<(PeerId, u32)>,
 }
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -161,7 +161,10 @@
         if !self.upstreams_changed.take() {
             return;
         }
-        let usable = self.upstream_table.borrow().usable();
+        let mut usable = self.upstream_table.borrow().usable();
+        for upstream in &mut usable {
+            upstream.draining |= self.upstream_notices.borrow().is_leaving(upstream.id());
+        }
         let draining = usable.iter().filter(|upstream| upstream.draining).count();
         info!("upstreams.changed known={} draining={draining}", usable.len());
         let now = self.clock.now();
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -21,6 +21,7 @@
     waiting_requests: IntGauge,
     gateways: IntGauge,
     quarantined_parts: IntGauge,
+    leaving_upstreams: IntGauge,
     slot_replies: IntCounterVec,
     pub(super) upstream_connections: IntCounter,
 }
@@ -61,12 +62,15 @@
         registry.register(Box::new(first_event_seconds.clone()))?;
         let quarantined_parts =
             gauge("quarantined_parts", "Prompt parts whose requests are refused")?;
+        let leaving_upstreams =
+            gauge("leaving_upstreams", "Upstreams that have said that they leave")?;
         for gauge in [
             &configuration_version,
             &open_requests,
             &waiting_requests,
             &gateways,
             &quarantined_parts,
+            &leaving_upstreams,
         ] {
             registry.register(Box::new(gauge.clone()))?;
         }
@@ -81,6 +85,7 @@
             waiting_requests,
             gateways,
             quarantined_parts,
+            leaving_upstreams,
             slot_replies,
             upstream_connections,
         })
@@ -102,6 +107,10 @@
         self.quarantined_parts.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_leaving_upstreams(&self, count: usize) {
+        self.leaving_upstreams.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_configuration_version(&self, version: u64) {
         self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -220,6 +220,7 @@
             position: self.read_schedule.borrow().position(),
             confirmed_ms_ago: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
             receiving: self.read_schedule.borrow().is_receiving(uptime),
+            leaving_upstreams: self.upstream_notices.borrow().leaving_news(self.clock.now()),
             part_news: self.part_quarantine.borrow().news(self.clock.now()),
             acknowledged,
             from: self.process_id,
@@ -297,6 +298,7 @@
             self.peers.borrow_mut().record_confirmation(digest.from, confirmed_at);
         }
         self.handle_part_news(digest.from, &digest.part_news);
+        self.handle_leaving_upstreams(digest.from, &digest.leaving_upstreams);
         self.handle_peer_read(digest);
     }
 }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -33,6 +33,7 @@
 use crate::shared_read::SharedReadReceiver;
 use crate::store_copy::StoreCopy;
 use crate::store_lag::StoreLag;
+use crate::upstream_notices::UpstreamNotices;
 use crate::upstream_table::UpstreamTable;
 
 /// Timeouts of connections to upstreams. A handshake takes one round trip, tens of milliseconds
@@ -111,6 +112,8 @@
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
     pub(super) read_schedule: RefCell<ReadSchedule>,
+    /// What upstreams have said of themselves.
+    pub(super) upstream_notices: RefCell<UpstreamNotices>,
     /// Prompt parts under which engines end.
     pub(super) part_quarantine: RefCell<PartQuarantine>,
     /// What this gateway knows from the store, for others that know less.
@@ -169,6 +172,7 @@
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             read_schedule: RefCell::default(),
+            upstream_notices: RefCell::default(),
             part_quarantine: RefCell::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
@@ -299,6 +303,7 @@
             self.peer_health.borrow_mut().retain(|id| peers.is_member(id));
         }
         self.part_quarantine.borrow_mut().expire(now);
+        self.expire_upstream_notices(now);
         self.pool.evict_expired(now);
         self.update_store_lag();
         self.update_leaving();
--- /dev/null
+++ b/components/gateway/src/runtime/upstream_notices.rs
@@ -0,0 +1,42 @@
+//! Applies what upstreams say of themselves in their responses.
+
+use std::time::Instant;
+
+use log::info;
+
+use super::state::Shared;
+use crate::model::{PeerId, ResponseMetadata, Upstream, UpstreamId};
+
+impl Shared {
+    /// Records what a response says of its upstream. A leaving one gets no new requests from now on.
+    pub(super) fn record_notices(&self, upstream: &Upstream, metadata: &ResponseMetadata) {
+        if !metadata.leaving {
+            return;
+        }
+        let now = self.clock.now();
+        if self.upstream_notices.borrow_mut().record_leaving(upstream.id(), now) {
+            info!("upstream.leaving instance={} by=own", upstream.instance);
+            self.apply_notices();
+        }
+    }
+
+    /// Applies what another gateway knows of leaving upstreams.
+    pub(super) fn handle_leaving_upstreams(&self, from: PeerId, leaving: &[UpstreamId]) {
+        let now = self.clock.now();
+        if self.upstream_notices.borrow_mut().apply_leaving(leaving, now) {
+            info!("upstream.leaving reported={} by={from}", leaving.len());
+            self.apply_notices();
+        }
+    }
+
+    fn apply_notices(&self) {
+        self.upstreams_changed.set(true);
+        self.apply_upstream_changes();
+    }
+
+    pub(super) fn expire_upstream_notices(&self, now: Instant) {
+        let upstreams = self.upstreams.borrow();
+        let is_listed = |upstream: UpstreamId| upstreams.contains_key(&upstream);
+        self.upstream_notices.borrow_mut().expire(is_listed, now);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/upstream_notices.rs
@@ -0,0 +1,87 @@
+//! What upstreams say of themselves in their responses: that they leave.
+//!
+//! Load pattern: upstreams that are taken away under load. Their announcements in the store tell it up to
+//! a read of the store later, while every response tells it at once, to the gateway that got it; that
+//! gateway tells the others.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::model::UpstreamId;
+
+/// Time for which digests repeat that an upstream leaves; covers the loss of several.
+const NEWS_VALIDITY: Duration = Duration::from_secs(4);
+
+/// Time for which a leaving upstream that the store does not list is remembered. An upstream that
+/// returns has another id.
+const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
+
+/// Maximum number of leaving upstreams in a digest.
+const MAX_NEWS: usize = 64;
+
+/// A leaving upstream.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    learnt_at: Instant,
+    /// Whether its own response told it, rather than another gateway.
+    at_first_hand: bool,
+}
+
+/// Notices of upstreams to one gateway.
+#[derive(Debug, Default)]
+pub struct UpstreamNotices {
+    leaving: HashMap<UpstreamId, Leaving>,
+}
+
+impl UpstreamNotices {
+    /// Records that a response of an upstream says that it leaves. Returns whether that is news.
+    pub fn record_leaving(&mut self, upstream: UpstreamId, now: Instant) -> bool {
+        let leaving = Leaving { learnt_at: now, at_first_hand: true };
+        match self.leaving.get_mut(&upstream) {
+            Some(known) if known.at_first_hand => false,
+            Some(known) => {
+                *known = leaving;
+                false
+            }
+            None => self.leaving.insert(upstream, leaving).is_none(),
+        }
+    }
+
+    /// Records leaving upstreams that another gateway tells of. Returns whether one of them is news.
+    pub fn apply_leaving(&mut self, upstreams: &[UpstreamId], now: Instant) -> bool {
+        let known_before = self.leaving.len();
+        for upstream in upstreams {
+            let leaving = Leaving { learnt_at: now, at_first_hand: false };
+            self.leaving.entry(*upstream).or_insert(leaving);
+        }
+        self.leaving.len() > known_before
+    }
+
+    /// Whether an upstream has said that it leaves.
+    pub fn is_leaving(&self, upstream: UpstreamId) -> bool {
+        self.leaving.contains_key(&upstream)
+    }
+
+    /// Number of upstreams that leave.
+    pub fn leaving_count(&self) -> usize {
+        self.leaving.len()
+    }
+
+    /// Leaving upstreams to tell the other gateways of.
+    pub fn leaving_news(&self, now: Instant) -> Vec<UpstreamId> {
+        let is_told = |leaving: &Leaving| {
+            leaving.at_first_hand
+                && now.saturating_duration_since(leaving.learnt_at) <= NEWS_VALIDITY
+        };
+        let told = self.leaving.iter().filter(|(_, leaving)| is_told(leaving));
+        told.take(MAX_NEWS).map(|(upstream, _)| *upstream).collect()
+    }
+
+    /// Forgets leaving upstreams that are gone.
+    pub fn expire(&mut self, is_listed: impl Fn(UpstreamId) -> bool, now: Instant) {
+        self.leaving.retain(|upstream, leaving| {
+            is_listed(*upstream)
+                || now.saturating_duration_since(leaving.learnt_at) <= UNLISTED_RETENTION
+        });
+    }
+}
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::broker::Message;
-use gateway::model::Position;
+use gateway::model::{Position, UpstreamId};
 use gateway::part_quarantine::PartNews;
 use gateway::peers::{Digest, Member, Peers, Recipients};
 
@@ -64,6 +64,7 @@
         confirmed_ms_ago: Some(120),
         receiving: true,
         part_news: PartNews::default(),
+        leaving_upstreams: vec![UpstreamId(8)],
         acknowledged: vec![(1, 2)],
     };
     let message = Message::Digest(digest);
--- /dev/null
+++ b/components/gateway/tests/upstream_notices.rs
@@ -0,0 +1,36 @@
+//! Notices of upstreams that they leave.
+
+use std::time::{Duration, Instant};
+
+use gateway::model::UpstreamId;
+use gateway::upstream_notices::UpstreamNotices;
+
+const LEAVING: UpstreamId = UpstreamId(7);
+
+#[test]
+fn a_leaving_upstream_is_told_of_for_ever_or_by_those_who_only_heard_of_it() {
+    let now = Instant::now();
+    let (mut first, mut second) = (UpstreamNotices::default(), UpstreamNotices::default());
+    assert!(first.record_leaving(LEAVING, now));
+    assert!(!first.record_leaving(LEAVING, now), "known");
+    assert_eq!(first.leaving_news(now), [LEAVING]);
+    assert!(second.apply_leaving(&first.leaving_news(now), now));
+    assert!(!second.apply_leaving(&first.leaving_news(now), now), "known");
+    assert!(second.leaving_news(now).is_empty());
+    let later = now + Duration::from_secs(5);
+    assert!(first.leaving_news(later).is_empty());
+    assert!(first.is_leaving(LEAVING) && second.is_leaving(LEAVING));
+}
+
+/// An upstream that starts again has another id, whatever its instance id and address.
+#[test]
+fn a_restarted_upstream_is_barred_by_the_notice_of_the_one_before() {
+    let now = Instant::now();
+    let mut notices = UpstreamNotices::default();
+    notices.record_leaving(LEAVING, now);
+    assert!(!notices.is_leaving(UpstreamId(8)));
+    notices.expire(|upstream| upstream == LEAVING, now + Duration::from_secs(600));
+    assert!(notices.is_leaving(LEAVING), "it is still listed");
+    notices.expire(|_| false, now + Duration::from_secs(600));
+    assert!(!notices.is_leaving(LEAVING));
+}
