Send nothing to an upstream in the time for which it wants nothing

Change: the upstream is excluded at this gateway until the time has passed, at most ten minutes; a slot that a broker grants there meanwhile is given back.

--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -59,6 +59,8 @@
     pub other_instance: bool,
     /// Whether the upstream says that it leaves.
     pub leaving: bool,
+    /// Time for which the upstream wants no requests of this gateway.
+    pub pause: Option<Duration>,
     /// Whether the connection may be reused.
     pub keep_connection: bool,
     /// Time for which the upstream keeps an idle connection open.
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -201,20 +201,23 @@
         self.peer_health.borrow_mut().record_timeout(broker, now);
     }
 
-    /// Marks upstreams that this gateway can hardly reach as suspect, and excludes draining ones.
+    /// Marks upstreams that this gateway can hardly reach as suspect, and excludes those that are
+    /// draining or have asked for a pause.
     fn update_unsuitable_upstreams(&self, job: &mut Job) {
         job.suspect = self.reachability.borrow().suspects(self.clock.now());
         let upstreams = self.upstreams.borrow();
         let draining = upstreams.iter().filter(|(_, upstream)| upstream.draining);
-        for (id, _) in draining {
-            if !job.excluded.contains(id) {
-                job.excluded.push(*id);
+        let draining = draining.map(|(id, _)| *id);
+        let notices = self.upstream_notices.borrow();
+        for id in draining.chain(notices.paused(self.clock.now())) {
+            if !job.excluded.contains(&id) {
+                job.excluded.push(id);
             }
         }
     }
 
-    /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is gone
-    /// or draining.
+    /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is gone,
+    /// draining or has asked for a pause.
     fn accept_slot(
         self: &Rc<Self>,
         broker: PeerId,
@@ -222,7 +225,8 @@
         upstream: UpstreamId,
     ) -> Option<SlotGuard> {
         let known = self.upstreams.borrow().get(&upstream).cloned();
-        let Some(usable) = known.filter(|upstream| !upstream.draining) else {
+        let is_paused = self.upstream_notices.borrow().is_paused(upstream, self.clock.now());
+        let Some(usable) = known.filter(|upstream| !upstream.draining && !is_paused) else {
             info!("slot.unusable broker={broker} upstream={}", upstream.0);
             self.send_release(
                 broker,
--- a/components/gateway/src/runtime/upstream_notices.rs
+++ b/components/gateway/src/runtime/upstream_notices.rs
@@ -8,12 +8,17 @@
 use crate::model::{PeerId, ResponseMetadata, Upstream, UpstreamId};
 
 impl Shared {
-    /// Records what a response says of its upstream. A leaving one gets no new requests from now on.
+    /// Records what a response says of its upstream. A leaving one gets no new requests from now on, and
+    /// one that asks for a pause gets none of this gateway meanwhile.
     pub(super) fn record_notices(&self, upstream: &Upstream, metadata: &ResponseMetadata) {
+        let now = self.clock.now();
+        if let Some(pause) = metadata.pause {
+            info!("upstream.paused instance={} pause_ms={}", upstream.instance, pause.as_millis());
+            self.upstream_notices.borrow_mut().record_pause(upstream.id(), pause, now);
+        }
         if !metadata.leaving {
             return;
         }
-        let now = self.clock.now();
         if self.upstream_notices.borrow_mut().record_leaving(upstream.id(), now) {
             info!("upstream.leaving instance={} by=own", upstream.instance);
             self.apply_notices();
--- a/components/gateway/src/upstream_notices.rs
+++ b/components/gateway/src/upstream_notices.rs
@@ -1,8 +1,10 @@
-//! What upstreams say of themselves in their responses: that they leave.
+//! What upstreams say of themselves in their responses: that they leave, or that they want nothing for
+//! some time.
 //!
 //! Load pattern: upstreams that are taken away under load. Their announcements in the store tell it up to
 //! a read of the store later, while every response tells it at once, to the gateway that got it; that
-//! gateway tells the others.
+//! gateway tells the others. A full upstream that names a time is not asked again before, however many
+//! requests wait.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -16,6 +18,9 @@
 /// returns has another id.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Longest pause that is granted to an upstream, whatever it asks for.
+pub const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// Maximum number of leaving upstreams in a digest.
 const MAX_NEWS: usize = 64;
 
@@ -31,6 +36,7 @@
 #[derive(Debug, Default)]
 pub struct UpstreamNotices {
     leaving: HashMap<UpstreamId, Leaving>,
+    paused_until: HashMap<UpstreamId, Instant>,
 }
 
 impl UpstreamNotices {
@@ -77,8 +83,27 @@
         told.take(MAX_NEWS).map(|(upstream, _)| *upstream).collect()
     }
 
-    /// Forgets leaving upstreams that are gone.
+    /// Records that an upstream wants no request of this gateway for `pause`, at most [`MAX_PAUSE`].
+    pub fn record_pause(&mut self, upstream: UpstreamId, pause: Duration, now: Instant) {
+        let until = now + pause.min(MAX_PAUSE);
+        let known = self.paused_until.entry(upstream).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Whether an upstream wants no request of this gateway now.
+    pub fn is_paused(&self, upstream: UpstreamId, now: Instant) -> bool {
+        self.paused_until.get(&upstream).is_some_and(|until| now < *until)
+    }
+
+    /// Upstreams that want no request of this gateway now.
+    pub fn paused(&self, now: Instant) -> impl Iterator<Item = UpstreamId> + '_ {
+        let is_paused = move |(_, until): &(&UpstreamId, &Instant)| now < **until;
+        self.paused_until.iter().filter(is_paused).map(|(upstream, _)| *upstream)
+    }
+
+    /// Forgets pauses that have ended, and leaving upstreams that are gone.
     pub fn expire(&mut self, is_listed: impl Fn(UpstreamId) -> bool, now: Instant) {
+        self.paused_until.retain(|_, until| now < *until);
         self.leaving.retain(|upstream, leaving| {
             is_listed(*upstream)
                 || now.saturating_duration_since(leaving.learnt_at) <= UNLISTED_RETENTION
--- a/components/gateway/tests/upstream_notices.rs
+++ b/components/gateway/tests/upstream_notices.rs
@@ -1,9 +1,9 @@
-//! Notices of upstreams that they leave.
+//! Notices of upstreams that they leave, or want nothing for some time.
 
 use std::time::{Duration, Instant};
 
 use gateway::model::UpstreamId;
-use gateway::upstream_notices::UpstreamNotices;
+use gateway::upstream_notices::{MAX_PAUSE, UpstreamNotices};
 
 const LEAVING: UpstreamId = UpstreamId(7);
 
@@ -34,3 +34,16 @@
     notices.expire(|_| false, now + Duration::from_secs(600));
     assert!(!notices.is_leaving(LEAVING));
 }
+
+#[test]
+fn a_pause_ends_early_or_never() {
+    let now = Instant::now();
+    let mut notices = UpstreamNotices::default();
+    notices.record_pause(LEAVING, Duration::from_secs(4), now);
+    notices.record_pause(LEAVING, Duration::from_millis(100), now);
+    assert!(notices.is_paused(LEAVING, now + Duration::from_millis(3_900)), "the longest holds");
+    assert_eq!(notices.paused(now).collect::<Vec<_>>(), [LEAVING]);
+    assert!(!notices.is_paused(LEAVING, now + Duration::from_secs(4)));
+    notices.record_pause(LEAVING, Duration::from_secs(u64::MAX / 4), now);
+    assert!(!notices.is_paused(LEAVING, now + MAX_PAUSE));
+}
