--- a/components/gateway/src/broker/election.rs
+++ b/components/gateway/src/broker/election.rs
@@ -1,5 +1,5 @@
-//! Elects the broker of a service, the owner of a customer's token bucket and the tester of a prompt
-//! part.
+//! Elects the broker of a service, the owner of a customer's token bucket and the tester of a
+//! prompt part.
 
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -12,9 +12,9 @@
 use crate::scheduler::{Job, Observation, Priority, Rejection, RouteId};
 use crate::shared_read::SharedRead;
 
-/// First byte of each datagram. It changes with the encoding, so that gateways of different versions
-/// that run beside each other during an update do not misread each other. The first format had no
-/// such byte; it takes this value for an unknown message.
+/// First byte of each datagram. It changes with the encoding, so that gateways of different
+/// versions that run beside each other during an update do not misread each other. The first format
+/// had no such byte; it takes this value for an unknown message.
 const FORMAT: u8 = 105;
 
 /// Identifies a slot request at the gateway that sent it.
--- a/components/gateway/src/model/position.rs
+++ b/components/gateway/src/model/position.rs
@@ -5,9 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Position in the store's history. A store that comes back from an older copy begins a new era: its
-/// revisions go back, and are given out again for other changes. Whatever its revision, a position of
-/// a later era is ahead of one of an earlier era.
+/// Position in the store's history. A store that comes back from an older copy begins a new era:
+/// its revisions go back, and are given out again for other changes. Whatever its revision, a
+/// position of a later era is ahead of one of an earlier era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Position {
     /// Number of times that the store has come back from a copy, as it states itself.
--- a/components/gateway/src/part_quarantine.rs
+++ b/components/gateway/src/part_quarantine.rs
@@ -1,15 +1,17 @@
 //! Quarantine of prompt parts under which engines end.
 //!
-//! Load pattern: requests that share one part of their prompts arrive at any gateway, and each engine
-//! that begins to answer one of them ends, with all streams that it was writing. Sound requests share
-//! their other parts and their customers. Meanwhile engines also end for other reasons, many at once.
+//! Load pattern: requests that share one part of their prompts arrive at any gateway, and each
+//! engine that begins to answer one of them ends, with all streams that it was writing. Sound
+//! requests share their other parts and their customers. Meanwhile engines also end for other
+//! reasons, many at once.
 //!
-//! An attempt that breaks before its first event is evidence against each shared part of its prompt;
-//! a stream that goes on after its first event clears them. A part is quarantined when attempts with it have broken
-//! at several engines, one after the other and without a stream in between that would have cleared it.
-//! Gateways pool evidence in their digests. While requests with a quarantined part still come, one gateway
-//! sends one of them now and then, at growing intervals; if an engine answers it, the quarantine ends
-//! everywhere. It also ends after a time without such requests.
+//! An attempt that breaks before its first event is evidence against each shared part of its
+//! prompt; a stream that goes on after its first event clears them. A part is quarantined when
+//! attempts with it have broken at several engines, one after the other and without a stream in
+//! between that would have cleared it. Gateways pool evidence in their digests. While requests with
+//! a quarantined part still come, one gateway sends one of them now and then, at growing intervals;
+//! if an engine answers it, the quarantine ends everywhere. It also ends after a time without such
+//! requests.
 
 use std::collections::{HashMap, VecDeque};
 use std::num::NonZeroUsize;
@@ -27,28 +29,29 @@
 /// failures that meet by chance.
 const MIN_BROKEN_UPSTREAMS: usize = 3;
 
-/// Shortest time between the first and the last of those. Engines that end at the same moment have a
-/// cause in common, which is not the part.
+/// Shortest time between the first and the last of those. Engines that end at the same moment have
+/// a cause in common, which is not the part.
 const MIN_EVIDENCE_SPAN: Duration = Duration::from_millis(300);
 
 /// Time for which evidence counts, so that a part that is seldom used can still be found.
 const EVIDENCE_VALIDITY: Duration = Duration::from_secs(60);
 
-/// Time for which an answer speaks against later evidence. When many engines end for another reason,
-/// several attempts with a common part may break before an engine answers the next one.
+/// Time for which an answer speaks against later evidence. When many engines end for another
+/// reason, several attempts with a common part may break before an engine answers the next one.
 const SOUND_VALIDITY: Duration = Duration::from_secs(10);
 
 /// Time for which news are repeated in digests; covers the loss of two digests to other zones.
 const NEWS_VALIDITY: Duration = Duration::from_secs(3);
 
-/// Time after a refusal, or after the part was found, for which a gateway tells others of a quarantine.
+/// Time after a refusal, or after the part was found, for which a gateway tells others of a
+/// quarantine.
 const QUARANTINE_NEWS_VALIDITY: Duration = Duration::from_secs(30);
 
 /// Time without requests with a part after which its quarantine ends.
 const QUARANTINE_RETENTION: Duration = Duration::from_secs(120);
 
-/// Time until the first test of a quarantined part. Each later one takes `TEST_INTERVAL_FACTOR` times as
-/// long: a test of a part that is rightly quarantined ends an engine and its streams.
+/// Time until the first test of a quarantined part. Each later one takes `TEST_INTERVAL_FACTOR`
+/// times as long: a test of a part that is rightly quarantined ends an engine and its streams.
 const FIRST_TEST_INTERVAL: Duration = Duration::from_secs(60);
 const TEST_INTERVAL_FACTOR: u32 = 4;
 
@@ -165,8 +168,8 @@
 }
 
 impl PartQuarantine {
-    /// Decides on a request with these shared parts. `is_tester` tells whether this gateway is the one
-    /// that tests a part.
+    /// Decides on a request with these shared parts. `is_tester` tells whether this gateway is the
+    /// one that tests a part.
     pub fn decide(
         &mut self,
         parts: impl IntoIterator<Item = PartId>,
@@ -220,8 +223,8 @@
         found
     }
 
-    /// Records that an engine goes on answering a request after its first event. Returns the parts that
-    /// are no longer quarantined.
+    /// Records that an engine goes on answering a request after its first event. Returns the parts
+    /// that are no longer quarantined.
     pub fn record_answered(
         &mut self,
         parts: impl IntoIterator<Item = PartId>,
--- a/components/gateway/src/read_schedule.rs
+++ b/components/gateway/src/read_schedule.rs
@@ -10,13 +10,13 @@
 //! digest arrives. The gateways of a zone are therefore ranked: the first one reads, the others
 //! later, if it does not.
 //!
-//! Load pattern: a configuration of a megabyte over a link that all gateways of a region share. If each
-//! of them read it from the store, the link would be full for seconds. A gateway that is behind a peer of
-//! its zone therefore asks that peer, and none reads while another one of its zone receives a long
-//! response.
+//! Load pattern: a configuration of a megabyte over a link that all gateways of a region share. If
+//! each of them read it from the store, the link would be full for seconds. A gateway that is
+//! behind a peer of its zone therefore asks that peer, and none reads while another one of its zone
+//! receives a long response.
 //!
-//! Load pattern: a store that comes back from an older copy. Positions are compared by era first, so a gateway
-//! that has not heard of it does not count as ahead of those that have.
+//! Load pattern: a store that comes back from an older copy. Positions are compared by era first,
+//! so a gateway that has not heard of it does not count as ahead of those that have.
 
 use std::cmp::Ordering;
 use std::collections::VecDeque;
@@ -36,9 +36,9 @@
 /// Rank from which gateways no longer wait longer.
 const LAST_DELAYED_RANK: u32 = 2;
 
-/// Age of the last confirmation at which a gateway reads although a peer of its zone receives a long
-/// response, or it reads from a peer itself. It leaves time for a read of its own before customers'
-/// keys expire.
+/// Age of the last confirmation at which a gateway reads although a peer of its zone receives a
+/// long response, or it reads from a peer itself. It leaves time for a read of its own before
+/// customers' keys expire.
 const MAX_HELD_AGE: Duration = Duration::from_millis(3_000);
 
 /// Time for which a digest that shows its sender receiving a long response holds other reads back;
@@ -220,8 +220,8 @@
         }
     }
 
-    /// Whether this gateway waits for what it, or another gateway of its zone, is receiving. The first
-    /// gateway in the ranking does not wait for others.
+    /// Whether this gateway waits for what it, or another gateway of its zone, is receiving. The
+    /// first gateway in the ranking does not wait for others.
     fn is_held(&self, rank: u32, uptime: Duration) -> bool {
         let is_recent = |at: Duration| uptime.saturating_sub(at) < HELD_BY_DIGEST;
         self.peer_read_under_way || (rank > 0 && self.peer_receiving_at.is_some_and(is_recent))
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -69,8 +69,8 @@
     /// upstream changes together. `queried_at` is the uptime at which the store was queried,
     /// `position` the position in its history up to which it was read.
     fn confirm(&self, queried_at: Duration, position: Position);
-    /// Position in the store's history up to which this gateway knows the state, by its own reads or
-    /// by those of peers that know the same state.
+    /// Position in the store's history up to which this gateway knows the state, by its own reads
+    /// or by those of peers that know the same state.
     fn known_position(&self) -> Option<Position>;
     /// Whether a read of the store is due.
     fn is_read_due(&self) -> bool;
@@ -94,7 +94,8 @@
     fn replace_upstreams(&self, listed: Vec<Upstream>);
     /// Replaces the members by the gateways registered in the store.
     fn set_members(&self, members: Vec<Member>);
-    /// Records that the store has come back from an older copy, before what it holds now is reported.
+    /// Records that the store has come back from an older copy, before what it holds now is
+    /// reported.
     fn mark_store_restored(&self, era: u64);
     /// Records that the store cannot be reached.
     fn mark_store_lost(&self, reason: &str);
--- a/components/gateway/src/runtime/parts.rs
+++ b/components/gateway/src/runtime/parts.rs
@@ -1,4 +1,5 @@
-//! Applies the quarantine of prompt parts to requests, and the results of attempts to the quarantine.
+//! Applies the quarantine of prompt parts to requests, and the results of attempts to the
+//! quarantine.
 
 use errors::{Refusal, ResultCode};
 use log::{info, warn};
@@ -46,8 +47,8 @@
         }
     }
 
-    /// Records an attempt that failed. If an engine had not begun to answer, each shared part of the
-    /// prompt may be why.
+    /// Records an attempt that failed. If an engine had not begun to answer, each shared part of
+    /// the prompt may be why.
     pub(super) fn record_failed_parts(&self, admitted: &AdmittedRequest, slot: &SlotGuard) {
         if slot.has_begun() || !admitted.route.kind.is_stream() {
             return;
--- a/components/gateway/src/runtime/peer_reads.rs
+++ b/components/gateway/src/runtime/peer_reads.rs
@@ -30,8 +30,8 @@
     keepalive_interval: Duration::from_millis(1_000),
 };
 
-/// Time until a peer begins its response; a small host takes some hundred milliseconds to compress a
-/// large configuration.
+/// Time until a peer begins its response; a small host takes some hundred milliseconds to compress
+/// a large configuration.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Limits on the transfer of the compressed changes.
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -216,8 +216,8 @@
         }
     }
 
-    /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is gone,
-    /// draining or has asked for a pause.
+    /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is
+    /// gone, draining or has asked for a pause.
     fn accept_slot(
         self: &Rc<Self>,
         broker: PeerId,
--- a/components/gateway/src/runtime/upstream_notices.rs
+++ b/components/gateway/src/runtime/upstream_notices.rs
@@ -8,8 +8,8 @@
 use crate::model::{PeerId, ResponseMetadata, Upstream, UpstreamId};
 
 impl Shared {
-    /// Records what a response says of its upstream. A leaving one gets no new requests from now on, and
-    /// one that asks for a pause gets none of this gateway meanwhile.
+    /// Records what a response says of its upstream. A leaving one gets no new requests from now
+    /// on, and one that asks for a pause gets none of this gateway meanwhile.
     pub(super) fn record_notices(&self, upstream: &Upstream, metadata: &ResponseMetadata) {
         let now = self.clock.now();
         if let Some(pause) = metadata.pause {
--- a/components/gateway/src/store_copy.rs
+++ b/components/gateway/src/store_copy.rs
@@ -1,9 +1,9 @@
-//! Copy of the part of the store that matters to gateways, from which a gateway tells those of its zone
-//! what they do not know.
+//! Copy of the part of the store that matters to gateways, from which a gateway tells those of its
+//! zone what they do not know.
 //!
-//! Load pattern: a configuration larger than a datagram before a zone of eighteen gateways that share a
-//! link to the store. One of them reads it there; the others ask that one for all changes after their
-//! own positions, over a connection within the zone.
+//! Load pattern: a configuration larger than a datagram before a zone of eighteen gateways that
+//! share a link to the store. One of them reads it there; the others ask that one for all changes
+//! after their own positions, over a connection within the zone.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -12,8 +12,8 @@
 use crate::model::Position;
 use crate::shared_read::{SharedChange, SharedRead};
 
-/// Maximum number of removed keys that are remembered. A gateway whose position is before the removals
-/// that have been forgotten gets everything.
+/// Maximum number of removed keys that are remembered. A gateway whose position is before the
+/// removals that have been forgotten gets everything.
 const MAX_REMOVALS: usize = 1_024;
 
 /// What a gateway does not know yet.
--- a/components/gateway/src/upstream_notices.rs
+++ b/components/gateway/src/upstream_notices.rs
@@ -1,10 +1,10 @@
-//! What upstreams say of themselves in their responses: that they leave, or that they want nothing for
-//! some time.
+//! What upstreams say of themselves in their responses: that they leave, or that they want nothing
+//! for some time.
 //!
-//! Load pattern: upstreams that are taken away under load. Their announcements in the store tell it up to
-//! a read of the store later, while every response tells it at once, to the gateway that got it; that
-//! gateway tells the others. A full upstream that names a time is not asked again before, however many
-//! requests wait.
+//! Load pattern: upstreams that are taken away under load. Their announcements in the store tell it
+//! up to a read of the store later, while every response tells it at once, to the gateway that got
+//! it; that gateway tells the others. A full upstream that names a time is not asked again before,
+//! however many requests wait.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -53,7 +53,8 @@
         }
     }
 
-    /// Records leaving upstreams that another gateway tells of. Returns whether one of them is news.
+    /// Records leaving upstreams that another gateway tells of. Returns whether one of them is
+    /// news.
     pub fn apply_leaving(&mut self, upstreams: &[UpstreamId], now: Instant) -> bool {
         let known_before = self.leaving.len();
         for upstream in upstreams {
@@ -83,7 +84,8 @@
         told.take(MAX_NEWS).map(|(upstream, _)| *upstream).collect()
     }
 
-    /// Records that an upstream wants no request of this gateway for `pause`, at most [`MAX_PAUSE`].
+    /// Records that an upstream wants no request of this gateway for `pause`, at most
+    /// [`MAX_PAUSE`].
     pub fn record_pause(&mut self, upstream: UpstreamId, pause: Duration, now: Instant) {
         let until = now + pause.min(MAX_PAUSE);
         let known = self.paused_until.entry(upstream).or_insert(until);
--- a/components/gateway/src/upstream_table.rs
+++ b/components/gateway/src/upstream_table.rs
@@ -1,7 +1,7 @@
 //! Table of usable upstreams, built from the store's announcements and kept through store outages.
 //!
-//! Load pattern: a store that comes back without announcements of upstreams that run, because their leases
-//! ended meanwhile or because it was restored from an older copy.
+//! Load pattern: a store that comes back without announcements of upstreams that run, because their
+//! leases ended meanwhile or because it was restored from an older copy.
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
--- a/components/gateway/tests/message.rs
+++ b/components/gateway/tests/message.rs
@@ -89,8 +89,8 @@
     }
 }
 
-/// Guards against gateways of different versions that take each other's datagrams for something else
-/// during an update.
+/// Guards against gateways of different versions that take each other's datagrams for something
+/// else during an update.
 #[test]
 fn a_datagram_of_another_format_is_rejected() {
     let reply = SlotReply::Queued;
--- a/components/gateway/tests/part_quarantine.rs
+++ b/components/gateway/tests/part_quarantine.rs
@@ -214,8 +214,8 @@
     }
 }
 
-/// Load pattern: from 4 to 103 gateways, 48 to 470 requests a second, one or two crashing parts, and
-/// engines that end for other reasons. The users allow three requests later than 3 s after the
+/// Load pattern: from 4 to 103 gateways, 48 to 470 requests a second, one or two crashing parts,
+/// and engines that end for other reasons. The users allow three requests later than 3 s after the
 /// fifth end.
 #[test]
 fn engines_go_on_ending_because_gateways_do_not_tell_each_other() {
--- a/components/gateway/tests/read_schedule.rs
+++ b/components/gateway/tests/read_schedule.rs
@@ -145,8 +145,8 @@
     assert!(!read_schedule.is_due(Some(ms(100)), 0, ms(6_000)));
 }
 
-/// The gateways of a zone that are behind a peer read one after the other, since the first one passes
-/// on what it has read.
+/// The gateways of a zone that are behind a peer read one after the other, since the first one
+/// passes on what it has read.
 #[test]
 fn gateways_that_are_behind_read_in_their_order() {
     let mut read_schedule = ReadSchedule::default();
@@ -269,8 +269,9 @@
     }
 }
 
-/// Load pattern: a configuration of a megabyte over a full link, which one gateway of a zone receives
-/// for two seconds. Eighteen transfers at once would take all of them as many times as long.
+/// Load pattern: a configuration of a megabyte over a full link, which one gateway of a zone
+/// receives for two seconds. Eighteen transfers at once would take all of them as many times as
+/// long.
 #[test]
 fn neighbours_read_a_large_configuration_from_the_store_while_one_receives_it() {
     let mut read_schedule = ReadSchedule::default();
--- a/components/gateway/tests/store_copy.rs
+++ b/components/gateway/tests/store_copy.rs
@@ -33,7 +33,8 @@
     }
 }
 
-/// Load pattern: a configuration of a megabyte that is written three times while upstreams come and go.
+/// Load pattern: a configuration of a megabyte that is written three times while upstreams come and
+/// go.
 #[test]
 fn a_neighbour_cannot_have_a_configuration_larger_than_a_datagram() {
     let mut copy = StoreCopy::default();
@@ -85,8 +86,8 @@
     assert!((1..10).contains(&everything), "{everything} neighbours got everything");
 }
 
-/// A neighbour that has not heard that the store has come back from an older copy knows changes which
-/// never were, up to a higher revision.
+/// A neighbour that has not heard that the store has come back from an older copy knows changes
+/// which never were, up to a higher revision.
 #[test]
 fn a_neighbour_keeps_what_a_restored_store_has_lost() {
     let in_era = |era: u64, revision: u64| Position { era, revision };
--- a/components/link/src/transfer.rs
+++ b/components/link/src/transfer.rs
@@ -1,7 +1,8 @@
 //! Limits of transfers whose length is not known in advance.
 //!
-//! Load pattern: a document that grows over the years, over a link that many share. A time limit on the whole
-//! transfer would at some size end each one halfway, and its repetition would keep the link full.
+//! Load pattern: a document that grows over the years, over a link that many share. A time limit on
+//! the whole transfer would at some size end each one halfway, and its repetition would keep the
+//! link full.
 
 use std::time::Duration;
 
--- a/components/peers/src/fetch.rs
+++ b/components/peers/src/fetch.rs
@@ -17,8 +17,8 @@
 
 use crate::connections::Connections;
 
-/// Longest time to transfer a configuration from a peer that has already replied to the query for its
-/// version. The store, which limits its transfers by progress, has what does not fit into it.
+/// Longest time to transfer a configuration from a peer that has already replied to the query for
+/// its version. The store, which limits its transfers by progress, has what does not fit into it.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Fetches newer configurations from sources and installs them in this process.
