End an outage of the store when a peer has read it

Cause, from the log of that gateway: it had counted the store as lost, and the store came back, but only a read of its own ended the outage. Its neighbours' reads kept it up to date, so it did not read for up to 30 s, and every upstream that was withdrawn in that time stayed in use ('upstream.withdrawn kept=true', eleven times in seven seconds).

Change: a confirmation of a peer that is less than 2 s old ends the outage as well, and the store does not count as lost while there is one.

--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -15,6 +15,11 @@
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
 use crate::upstream_table::UpstreamTableChange;
 
+/// Time without a confirmation by the store, be it to a peer, after which the store counts as lost.
+/// It must pass before the announcements of running upstreams expire because they cannot be
+/// renewed, which takes about three seconds.
+pub(super) const STORE_LOST_AFTER: Duration = Duration::from_millis(2_000);
+
 impl Directory for Shared {
     fn configure(&self, configuration: Configuration, queried_at: Duration) {
         let previous =
@@ -135,13 +140,19 @@
     }
 
     fn mark_store_lost(&self, reason: &str) {
-        self.upstream_table.borrow_mut().mark_store_lost();
+        let age = self.freshness.get().age(self.clock.uptime());
+        let is_served_to_peers = age.is_some_and(|age| age < STORE_LOST_AFTER);
+        if is_served_to_peers || !self.upstream_table.borrow_mut().mark_store_lost() {
+            return;
+        }
         let age_ms = self.confirmation_age_ms();
         warn!("store.lost reason={reason:?} confirmation_age_ms={age_ms}");
     }
 
     fn mark_store_regained(&self) {
-        self.upstream_table.borrow_mut().mark_store_regained(self.clock.now());
+        if !self.upstream_table.borrow_mut().mark_store_regained(self.clock.now()) {
+            return;
+        }
         let age_ms = self.confirmation_age_ms();
         info!("store.regained confirmation_age_ms={age_ms}");
     }
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -97,7 +97,8 @@
     /// Records that the store has come back from an older copy, before what it holds now is
     /// reported.
     fn mark_store_restored(&self, era: u64);
-    /// Records that the store cannot be reached.
+    /// Records that the store cannot be reached from here. It counts as lost once it has confirmed
+    /// nothing to any gateway of the zone for some time.
     fn mark_store_lost(&self, reason: &str);
     /// Records that the store can be reached again.
     fn mark_store_regained(&self);
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -10,6 +10,8 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep_until};
 
+use super::Directory;
+use super::directory::STORE_LOST_AFTER;
 use super::state::{Shared, SharedRef};
 use crate::broker::Message;
 use crate::model::PeerId;
@@ -246,6 +248,10 @@
         let confirmed_at = self.read_schedule.borrow_mut().apply_peer_read(peer_read, uptime);
         if let Some(confirmed_at) = confirmed_at {
             self.record_confirmation(confirmed_at);
+            // What a peer reads shows which upstreams have left, also if this gateway reads nothing.
+            if uptime.saturating_sub(confirmed_at) < STORE_LOST_AFTER {
+                self.mark_store_regained();
+            }
         }
         if let Some(peer) = self.read_schedule.borrow_mut().begin_peer_read() {
             self.due_peer_read.set(Some(peer));
--- a/components/gateway/src/upstream_table.rs
+++ b/components/gateway/src/upstream_table.rs
@@ -107,16 +107,18 @@
         change
     }
 
-    /// Records that the store is unreachable.
-    pub fn mark_store_lost(&mut self) {
-        self.store_lost = true;
+    /// Records that the store is unreachable. Returns whether that is news.
+    pub fn mark_store_lost(&mut self) -> bool {
+        !std::mem::replace(&mut self.store_lost, true)
     }
 
-    /// Records that the store is reachable again.
-    pub fn mark_store_regained(&mut self, now: Instant) {
-        if std::mem::take(&mut self.store_lost) {
+    /// Records that the store is reachable again. Returns whether that is news.
+    pub fn mark_store_regained(&mut self, now: Instant) -> bool {
+        let was_lost = std::mem::take(&mut self.store_lost);
+        if was_lost {
             self.rejoin_until = Some(now + REJOIN_GRACE);
         }
+        was_lost
     }
 
     /// Records that the store has come back from an older copy: announcements that it lacks are
