Do not catch up from peers while the store is out of reach

Cause: a gateway that was cut off from the store, but not from its peers, read everything from one of them after the store had dropped its history, and stayed in service; before, it fell behind and left. Its registration had lapsed. A gateway that started then and became the owner of the customer's bucket did not know it, and both granted.

--- a/components/gateway/src/read_schedule.rs
+++ b/components/gateway/src/read_schedule.rs
@@ -98,6 +98,8 @@
     mismatch: Option<Mismatch>,
     /// Whether this gateway reads from a peer that is ahead.
     peer_read_under_way: bool,
+    /// Whether the calls of this gateway to the store have been failing for some time.
+    store_unreachable: bool,
     /// When a digest last showed a peer that was receiving a long response.
     peer_receiving_at: Option<Duration>,
     /// When this gateway last made progress with a long response.
@@ -201,10 +203,19 @@
         }
     }
 
-    /// Begins a read from a peer that is ahead, if one is due; returns the peer.
+    /// Records whether the calls of this gateway to the store have been failing for some time.
+    pub fn set_store_unreachable(&mut self, store_unreachable: bool) {
+        self.store_unreachable = store_unreachable;
+    }
+
+    /// Begins a read from a peer that is ahead, if one is due; returns the peer. A gateway that
+    /// cannot reach the store does not catch up in this way: its registration there lapses, and
+    /// gateways that start do not know it.
     pub fn begin_peer_read(&mut self) -> Option<PeerId> {
         match self.mismatch {
-            Some(Mismatch::Behind { peer, .. }) if !self.peer_read_under_way => {
+            Some(Mismatch::Behind { peer, .. })
+                if !self.peer_read_under_way && !self.store_unreachable =>
+            {
                 self.peer_read_under_way = peer.is_some();
                 peer
             }
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -140,6 +140,7 @@
     }
 
     fn mark_store_lost(&self, reason: &str) {
+        self.read_schedule.borrow_mut().set_store_unreachable(true);
         let age = self.freshness.get().age(self.clock.uptime());
         let is_served_to_peers = age.is_some_and(|age| age < STORE_LOST_AFTER);
         if is_served_to_peers || !self.upstream_table.borrow_mut().mark_store_lost() {
@@ -150,15 +151,21 @@
     }
 
     fn mark_store_regained(&self) {
+        self.read_schedule.borrow_mut().set_store_unreachable(false);
+        self.end_store_outage();
+    }
+}
+
+impl Shared {
+    /// Ends an outage of the store, as seen here or by a peer.
+    pub(super) fn end_store_outage(&self) {
         if !self.upstream_table.borrow_mut().mark_store_regained(self.clock.now()) {
             return;
         }
         let age_ms = self.confirmation_age_ms();
         info!("store.regained confirmation_age_ms={age_ms}");
     }
-}
 
-impl Shared {
     /// Records a change of the usable upstreams; the changes of one read of the store are applied
     /// together.
     pub(super) fn record_upstream_change(&self, change: UpstreamTableChange) {
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -10,7 +10,6 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep_until};
 
-use super::Directory;
 use super::directory::STORE_LOST_AFTER;
 use super::state::{Shared, SharedRef};
 use crate::broker::Message;
@@ -250,7 +249,7 @@
             self.record_confirmation(confirmed_at);
             // What a peer reads shows which upstreams have left, also if this gateway reads nothing.
             if uptime.saturating_sub(confirmed_at) < STORE_LOST_AFTER {
-                self.mark_store_regained();
+                self.end_store_outage();
             }
         }
         if let Some(peer) = self.read_schedule.borrow_mut().begin_peer_read() {
--- a/components/gateway/tests/read_schedule.rs
+++ b/components/gateway/tests/read_schedule.rs
@@ -337,3 +337,19 @@
     read_schedule.apply_peer_read(PeerRead { position: Some(restored), ..ahead(false) }, ms(2_400));
     assert_eq!(read_schedule.begin_peer_read(), Some(9), "this gateway is behind");
 }
+
+/// Load pattern: one gateway is cut off from the store, but not from its peers. Its registration
+/// lapses, so a gateway that starts and owns a customer's bucket does not count the share that this
+/// one grants itself.
+#[test]
+fn a_gateway_that_the_store_no_longer_lists_stays_in_service_by_reads_from_its_peers() {
+    let mut read_schedule = ReadSchedule::default();
+    read_schedule.record_digest_sent(1, ms(1_000));
+    read_schedule.record_read(ms(1_000), at(70));
+    read_schedule.set_store_unreachable(true);
+    read_schedule.apply_peer_read(ahead(false), ms(4_000));
+    assert_eq!(read_schedule.begin_peer_read(), None);
+    assert!(read_schedule.is_due(Some(ms(400)), 0, ms(4_000)), "it tries the store");
+    read_schedule.set_store_unreachable(false);
+    assert_eq!(read_schedule.begin_peer_read(), Some(9));
+}
