Log the rates that upstreams name, and which broker granted a slot

Nothing told when a gateway had heard of an upstream's limit, nor whose slots the requests beyond it had, which separates the hypotheses on upstreams that get more than the rate that they name. upstream.limit tells it at each change, as does the gauge of limited upstreams; request.next and stream.end name the broker. A limit that is no rate is logged and says nothing. No decision changes.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
 //! `part_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`,
-//! `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`) do no I/O: they
-//! take facts and the current time and return decisions. `runtime` carries the decisions out on one
-//! thread. A platform adapter implements `HeaderCodec` and feeds `Directory`.
+//! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`)
+//! do no I/O: they take facts and the current time and return decisions. `runtime` carries the
+//! decisions out on one thread. A platform adapter implements `HeaderCodec` and feeds `Directory`.
 
 pub mod allowance;
 pub mod broker;
@@ -26,6 +26,7 @@
 pub mod shared_read;
 pub mod store_copy;
 pub mod store_lag;
+pub mod upstream_limits;
 pub mod upstream_notices;
 pub mod upstream_table;
 
--- a/components/gateway/src/model/mod.rs
+++ b/components/gateway/src/model/mod.rs
@@ -13,6 +13,6 @@
     Target,
 };
 pub use position::{ParsePositionError, Position};
-pub use request::{PromptPart, RequestMetadata, ResponseMetadata};
+pub use request::{PromptPart, RequestMetadata, ResponseMetadata, StatedLimit};
 pub(crate) use upstream::Distance;
 pub use upstream::{InstanceId, ServiceId, Topology, Upstream, UpstreamId};
--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -46,8 +46,22 @@
     pub tokens: u32,
 }
 
+/// What a response says of the requests a second that its upstream takes from all gateways
+/// together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// It names no limit.
+    #[default]
+    None,
+    /// It names this rate, finite and not negative.
+    PerSecond(f64),
+    /// It names something that is not a rate, which says neither that there is a limit nor that one
+    /// has ended.
+    Unreadable,
+}
+
 /// Metadata in the head of an upstream's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the attempt that the response belongs to, if it contains one.
     pub attempt_id: Option<String>,
@@ -59,6 +73,8 @@
     pub other_instance: bool,
     /// Whether the upstream says that it leaves.
     pub leaving: bool,
+    /// Requests a second that the upstream takes.
+    pub limit: StatedLimit,
     /// Time for which the upstream wants no requests of this gateway.
     pub pause: Option<Duration>,
     /// Whether the connection may be reused.
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -185,7 +185,7 @@
         let (head, body) = Response::into_parts(response);
         let metadata = self.header_codec.decode_response(head.status, &head.headers);
         slot.record_activity();
-        self.record_notices(slot.upstream(), &metadata);
+        self.record_notices(slot, &metadata);
         if metadata.not_run {
             slot.release(if metadata.other_instance {
                 AttemptOutcome::Replaced
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -249,10 +249,11 @@
         let ms_since_arrival =
             |at: Instant| at.saturating_duration_since(admitted.arrived).as_millis();
         info!(
-            "request.next id={} route={} instance={} ended={result:?} next={next_step:?} attempts={} assigned_ms={} ended_ms={}",
+            "request.next id={} route={} instance={} broker={} ended={result:?} next={next_step:?} attempts={} assigned_ms={} ended_ms={}",
             admitted.metadata.attempt_id,
             admitted.route.name,
             slot.upstream().instance,
+            slot.broker(),
             attempts.count,
             ms_since_arrival(slot.assigned_at()),
             ms_since_arrival(now),
--- a/components/gateway/src/runtime/internal_server.rs
+++ b/components/gateway/src/runtime/internal_server.rs
@@ -27,6 +27,7 @@
         self.metrics.set_load(open_requests, waiting_requests, gateways);
         self.metrics.set_quarantined_parts(self.part_quarantine.borrow().quarantined_count());
         self.metrics.set_leaving_upstreams(self.upstream_notices.borrow().leaving_count());
+        self.metrics.set_limited_upstreams(self.upstream_limits.borrow().limits().count());
         Response::build(StatusCode::OK)
             .content_type("text/plain; version=0.0.4")
             .body(self.metrics.render())
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -22,6 +22,7 @@
     gateways: IntGauge,
     quarantined_parts: IntGauge,
     leaving_upstreams: IntGauge,
+    limited_upstreams: IntGauge,
     slot_replies: IntCounterVec,
     pub(super) upstream_connections: IntCounter,
 }
@@ -64,6 +65,8 @@
             gauge("quarantined_parts", "Prompt parts whose requests are refused")?;
         let leaving_upstreams =
             gauge("leaving_upstreams", "Upstreams that have said that they leave")?;
+        let limited_upstreams =
+            gauge("limited_upstreams", "Upstreams that name a limit on their requests")?;
         for gauge in [
             &configuration_version,
             &open_requests,
@@ -71,6 +74,7 @@
             &gateways,
             &quarantined_parts,
             &leaving_upstreams,
+            &limited_upstreams,
         ] {
             registry.register(Box::new(gauge.clone()))?;
         }
@@ -86,6 +90,7 @@
             gateways,
             quarantined_parts,
             leaving_upstreams,
+            limited_upstreams,
             slot_replies,
             upstream_connections,
         })
@@ -111,6 +116,10 @@
         self.leaving_upstreams.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_limited_upstreams(&self, count: usize) {
+        self.limited_upstreams.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_configuration_version(&self, version: u64) {
         self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -240,10 +240,11 @@
             |at: Instant| at.saturating_duration_since(self.admitted.arrived).as_millis();
         let in_time = self.meets_objectives();
         info!(
-            "stream.end id={} route={} instance={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} attempts={} assigned_ms={} first_ms={} end_ms={} events={} longest_pause_ms={}",
+            "stream.end id={} route={} instance={} broker={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} attempts={} assigned_ms={} first_ms={} end_ms={} events={} longest_pause_ms={}",
             self.admitted.metadata.attempt_id,
             self.admitted.route.name,
             self.slot.upstream().instance,
+            self.slot.broker(),
             self.admitted.priority.tier,
             self.admitted.priority.route_tier,
             self.admitted.metadata.prompt_tokens.unwrap_or(0),
--- a/components/gateway/src/runtime/slot_guard.rs
+++ b/components/gateway/src/runtime/slot_guard.rs
@@ -54,6 +54,11 @@
         &self.upstream
     }
 
+    /// The gateway that granted the slot.
+    pub(super) fn broker(&self) -> PeerId {
+        self.broker
+    }
+
     /// When the slot was granted.
     pub(super) fn assigned_at(&self) -> Instant {
         self.assigned_at
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -33,6 +33,7 @@
 use crate::shared_read::SharedReadReceiver;
 use crate::store_copy::StoreCopy;
 use crate::store_lag::StoreLag;
+use crate::upstream_limits::UpstreamLimits;
 use crate::upstream_notices::UpstreamNotices;
 use crate::upstream_table::UpstreamTable;
 
@@ -114,6 +115,8 @@
     pub(super) read_schedule: RefCell<ReadSchedule>,
     /// What upstreams have said of themselves.
     pub(super) upstream_notices: RefCell<UpstreamNotices>,
+    /// Rates that upstreams have named.
+    pub(super) upstream_limits: RefCell<UpstreamLimits>,
     /// Prompt parts under which engines end.
     pub(super) part_quarantine: RefCell<PartQuarantine>,
     /// What this gateway knows from the store, for others that know less.
@@ -173,6 +176,7 @@
             open_connections: Cell::new(0),
             read_schedule: RefCell::default(),
             upstream_notices: RefCell::default(),
+            upstream_limits: RefCell::default(),
             part_quarantine: RefCell::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
