Assign upstreams no more than the rate that they name

Upstreams in need got all that came: 29 and 37 requests in 4 s reached two engines that named 1.6 and 2.0 a second.

Cause: nothing in the gateway read the limit. The broker bounds what is in flight at an upstream, and one that answers quickly has its slots free again at once. Ruled out: slots of two brokers (no broker was passed over) and requests sent again (all 192 attempts were first ones). The class: load is bounded by concurrency alone, where an upstream names a rate.

Change: gateways keep what upstreams say of their limits, at first hand and from digests; the newest statement counts. The elected broker assigns at that rate, times the share of the gateways that it reaches; substitutes assign nothing below a share of one request a second. An upstream without a token is no candidate; the queue's forecast knows the sum of the limits. A grant older than 600 ms is given back. Digests carry the limits after their fields, where gateways of the version before do not look.

--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -244,10 +244,20 @@
 
 impl std::error::Error for MessageError {}
 
+impl From<postcard::Error> for MessageError {
+    fn from(error: postcard::Error) -> MessageError {
+        MessageError(error.to_string())
+    }
+}
+
 impl Message {
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        postcard::to_extend(self, vec![FORMAT]).map_err(|error| MessageError(error.to_string()))
+        let bytes = postcard::to_extend(self, vec![FORMAT])?;
+        match self {
+            Message::Digest(digest) => Ok(postcard::to_extend(&digest.extension, bytes)?),
+            _ => Ok(bytes),
+        }
     }
 
     /// Decodes a datagram.
@@ -255,7 +265,13 @@
         let Some((&FORMAT, message)) = bytes.split_first() else {
             return Err(MessageError("the datagram is of another format".to_owned()));
         };
-        postcard::from_bytes(message).map_err(|error| MessageError(error.to_string()))
+        let (mut message, rest) = postcard::take_from_bytes(message)?;
+        if let Message::Digest(digest) = &mut message
+            && !rest.is_empty()
+        {
+            digest.extension = postcard::from_bytes(rest)?;
+        }
+        Ok(message)
     }
 
     /// Gateway process that sent the message.
--- a/components/gateway/src/broker/mod.rs
+++ b/components/gateway/src/broker/mod.rs
@@ -84,6 +84,11 @@
         self.wake_waiting(now)
     }
 
+    /// Replaces the rates, in requests per second, at which upstreams may be assigned requests.
+    pub fn set_rates(&mut self, rates: &HashMap<UpstreamId, f64>, now: Instant) {
+        self.scheduler.set_rates(rates, now);
+    }
+
     /// Scheduler with the upstreams and the queued requests.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -4,6 +4,7 @@
 
 use crate::model::{PeerId, Position, UpstreamId};
 use crate::part_quarantine::PartNews;
+use crate::upstream_limits::LimitNews;
 
 /// State of the store as known to a gateway. Each digest is self-contained, so that a lost one only
 /// makes the receiver's knowledge older.
@@ -31,4 +32,16 @@
     pub leaving_upstreams: Vec<UpstreamId>,
     /// Newest digests that the sender has received from gateways of its zone, by sequence number.
     pub acknowledged: Vec<(PeerId, u32)>,
+    /// What later versions of the digest have in addition.
+    #[serde(skip)]
+    pub extension: DigestExtension,
+}
+
+/// Fields that follow the digest in its datagram. An earlier version reads the digest without them,
+/// and a digest of an earlier version has none, so that gateways of both versions work together
+/// during an update. Further fields go to the end, in the same way.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct DigestExtension {
+    /// Limits that upstreams have named to the sender.
+    pub limits: Vec<LimitNews>,
 }
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-pub use digest::Digest;
+pub use digest::{Digest, DigestExtension};
 
 use crate::model::PeerId;
 
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -21,6 +21,7 @@
 mod slot_guard;
 mod slots;
 mod state;
+mod upstream_limits;
 mod upstream_notices;
 
 use std::net::SocketAddr;
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -14,7 +14,7 @@
 use super::state::{Shared, SharedRef};
 use crate::broker::Message;
 use crate::model::PeerId;
-use crate::peers::{Digest, Recipients};
+use crate::peers::{Digest, DigestExtension, Recipients};
 use crate::read_schedule::PeerRead;
 use crate::shared_read::SharedRead;
 
@@ -216,6 +216,8 @@
         let uptime = self.clock.uptime();
         self.read_schedule.borrow_mut().record_digest_sent(sequence, uptime);
         let age = self.freshness.get().age(uptime);
+        let extension =
+            DigestExtension { limits: self.upstream_limits.borrow().news(self.clock.now()) };
         Digest {
             fingerprint: self.fingerprint(),
             position: self.read_schedule.borrow().position(),
@@ -224,6 +226,7 @@
             leaving_upstreams: self.upstream_notices.borrow().leaving_news(self.clock.now()),
             part_news: self.part_quarantine.borrow().news(self.clock.now()),
             acknowledged,
+            extension,
             from: self.process_id,
             sequence,
             leaving: self.is_leaving(),
@@ -304,6 +307,7 @@
         }
         self.handle_part_news(digest.from, &digest.part_news);
         self.handle_leaving_upstreams(digest.from, &digest.leaving_upstreams);
+        self.handle_limits(digest.from, &digest.extension.limits);
         self.handle_peer_read(digest);
     }
 }
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -12,7 +12,7 @@
 use super::slot_guard::SlotGuard;
 use super::state::{AwaitedReply, Shared, SharedRef};
 use crate::broker::{ElectionKey, Message, SlotReply, SlotRequestId, WireJob, rank_candidates};
-use crate::model::{PeerId, ServiceId, UpstreamId};
+use crate::model::{PeerId, ServiceId, Upstream, UpstreamId};
 use crate::peers::Candidate;
 use crate::scheduler::{AttemptOutcome, Job, Observation, Rejection, RejectionReason};
 
@@ -54,7 +54,8 @@
 
 /// Result of a slot request.
 enum SlotRequestResult {
-    Granted(SlotRequestId, UpstreamId),
+    /// A slot is granted, at most this long ago.
+    Granted(SlotRequestId, UpstreamId, Duration),
     Rejected(Rejection),
     /// The broker did not reply, or is not the service's broker.
     BrokerUnavailable,
@@ -68,8 +69,8 @@
         shared.update_unsuitable_upstreams(&mut job);
         let broker = shared.select_broker(job.service, &unavailable_brokers);
         match request_slot(shared, broker, &job).await {
-            SlotRequestResult::Granted(request_id, upstream) => {
-                match shared.accept_slot(broker, request_id, upstream) {
+            SlotRequestResult::Granted(request_id, upstream, max_age) => {
+                match shared.accept_slot(broker, request_id, upstream, max_age) {
                     Some(slot) => return Ok(slot),
                     None => job.excluded.push(upstream),
                 }
@@ -113,7 +114,8 @@
             }
             Ok(Some(SlotReply::Granted { upstream })) => {
                 pending.completed = true;
-                return SlotRequestResult::Granted(pending.request_id, upstream);
+                let max_age = now.saturating_duration_since(last_reply_at);
+                return SlotRequestResult::Granted(pending.request_id, upstream, max_age);
             }
             Ok(Some(SlotReply::Rejected(rejection))) => {
                 pending.completed = true;
@@ -217,16 +219,19 @@
     }
 
     /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is
-    /// gone, draining or has asked for a pause.
+    /// gone, draining or has asked for a pause, or has a limit and the grant is old.
     fn accept_slot(
         self: &Rc<Self>,
         broker: PeerId,
         request_id: SlotRequestId,
         upstream: UpstreamId,
+        max_age: Duration,
     ) -> Option<SlotGuard> {
         let known = self.upstreams.borrow().get(&upstream).cloned();
         let is_paused = self.upstream_notices.borrow().is_paused(upstream, self.clock.now());
-        let Some(usable) = known.filter(|upstream| !upstream.draining && !is_paused) else {
+        let is_valid = self.upstream_limits.borrow().may_use_grant(upstream, max_age);
+        let may_use = |upstream: &Upstream| !upstream.draining && !is_paused && is_valid;
+        let Some(usable) = known.filter(may_use) else {
             info!("slot.unusable broker={broker} upstream={}", upstream.0);
             self.send_release(
                 broker,
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -117,6 +117,8 @@
     pub(super) upstream_notices: RefCell<UpstreamNotices>,
     /// Rates that upstreams have named.
     pub(super) upstream_limits: RefCell<UpstreamLimits>,
+    /// Whether the broker was last given rates at which it may assign requests.
+    pub(super) has_rates: Cell<bool>,
     /// Prompt parts under which engines end.
     pub(super) part_quarantine: RefCell<PartQuarantine>,
     /// What this gateway knows from the store, for others that know less.
@@ -177,6 +179,7 @@
             read_schedule: RefCell::default(),
             upstream_notices: RefCell::default(),
             upstream_limits: RefCell::default(),
+            has_rates: Cell::new(false),
             part_quarantine: RefCell::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
@@ -312,6 +315,7 @@
         self.update_store_lag();
         self.update_leaving();
         self.update_candidates();
+        self.apply_limits(now);
         let replies = self.broker.borrow_mut().expire_silent(now);
         self.send_replies(replies);
         self.is_ready();
@@ -335,7 +339,7 @@
         );
     }
 
-    fn is_broker_of(&self, service: ServiceId) -> bool {
+    pub(super) fn is_broker_of(&self, service: ServiceId) -> bool {
         self.ranked_brokers(service).first() == Some(&self.process_id)
     }
 }
--- a/components/gateway/src/runtime/upstream_notices.rs
+++ b/components/gateway/src/runtime/upstream_notices.rs
@@ -4,7 +4,6 @@
 
 use log::info;
 
-use super::log_fields::or_none;
 use super::slot_guard::SlotGuard;
 use super::state::Shared;
 use crate::model::{PeerId, ResponseMetadata, UpstreamId};
@@ -14,7 +13,7 @@
     /// on, and one that asks for a pause gets none of this gateway meanwhile.
     pub(super) fn record_notices(&self, slot: &SlotGuard, metadata: &ResponseMetadata) {
         let (upstream, now) = (slot.upstream(), self.clock.now());
-        self.record_stated_limit(slot, metadata, now);
+        self.record_stated_limit(slot, metadata);
         if let Some(pause) = metadata.pause {
             info!("upstream.paused instance={} pause_ms={}", upstream.instance, pause.as_millis());
             self.upstream_notices.borrow_mut().record_pause(upstream.id(), pause, now);
@@ -28,28 +27,6 @@
         }
     }
 
-    /// Records the rate that a response names. One that another instance sent says nothing of the
-    /// upstream that the request was meant for.
-    fn record_stated_limit(&self, slot: &SlotGuard, metadata: &ResponseMetadata, now: Instant) {
-        if metadata.other_instance {
-            return;
-        }
-        let upstream = slot.upstream();
-        let change = self.upstream_limits.borrow_mut().record_response(
-            upstream.id(),
-            metadata.limit,
-            slot.assigned_at(),
-            now,
-        );
-        if let Some(change) = change {
-            info!(
-                "upstream.limit instance={} per_second={} by=own",
-                upstream.instance,
-                or_none(change.per_second),
-            );
-        }
-    }
-
     /// Applies what another gateway knows of leaving upstreams.
     pub(super) fn handle_leaving_upstreams(&self, from: PeerId, leaving: &[UpstreamId]) {
         let now = self.clock.now();
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -8,9 +8,10 @@
 //!
 //! Load pattern: a burst that is longer than the latency objectives, before upstreams of unequal
 //! speed. `queue` answers how many wait and in which order, `placement` where a request goes,
-//! `upstream_state` how much an upstream is assigned.
+//! `upstream_state` how much an upstream is assigned, and `pace` how fast if it names a limit.
 
 mod job;
+mod pace;
 mod placement;
 mod queue;
 mod speed;
@@ -99,6 +100,28 @@
         for service in &self.plain_services {
             Self::allow_extra_slots(&self.by_service, &mut self.upstreams, *service);
         }
+        self.update_rate_bounds();
+    }
+
+    /// Replaces the rates, in requests per second, at which upstreams may be assigned requests.
+    /// Those that are not listed have no such limit.
+    pub fn set_rates(&mut self, rates: &HashMap<UpstreamId, f64>, now: Instant) {
+        for (id, state) in &mut self.upstreams {
+            state.set_rate(rates.get(id).copied(), now);
+        }
+        self.update_rate_bounds();
+    }
+
+    /// Tells the queues how fast a service can serve at most: a bound exists only if all its
+    /// upstreams have one.
+    fn update_rate_bounds(&mut self) {
+        for (service, ids) in &self.by_service {
+            let states = ids.iter().filter_map(|id| self.upstreams.get(id));
+            let mut usable = states.filter(|state| !state.upstream.draining).peekable();
+            let has_usable = usable.peek().is_some();
+            let bound = usable.map(UpstreamState::rate).sum::<Option<f64>>();
+            self.queue.set_rate_bound(*service, bound.filter(|_| has_usable));
+        }
     }
 
     /// Number of comparisons of an upstream with a request since the start, a measure of the work
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -24,6 +24,9 @@
 /// Lower bound of the placement rate, in requests per second, in estimates of waits.
 const MIN_RATE_PER_SECOND: f64 = 0.5;
 
+/// Upper bound of expected waits; no request waits as long.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(3_600);
+
 /// Number of requests at the head of a queue that are never rejected as unplaceable.
 const PROTECTED_HEAD_LENGTH: usize = 3;
 
@@ -52,6 +55,8 @@
     priorities: BTreeMap<Priority, usize>,
     order: RefCell<CachedOrder>,
     placement_rate: Option<PlacementRate>,
+    /// Requests per second that all upstreams together take at most, if they name limits.
+    rate_bound: Option<f64>,
 }
 
 /// A waiting request.
@@ -156,11 +161,13 @@
             .as_ref()
             .map_or(INITIAL_RATE_PER_SECOND, |rate| rate.decayed(now))
             .max(MIN_RATE_PER_SECOND)
+            .min(self.rate_bound.unwrap_or(f64::INFINITY))
     }
 
     /// Expected wait of the request at a position of the order.
     fn expected_wait_at(&self, position: usize, now: Instant) -> Duration {
-        Duration::from_secs_f64((position as f64 + 1.0) / self.rate(now))
+        let wait_s = (position as f64 + 1.0) / self.rate(now);
+        Duration::try_from_secs_f64(wait_s).unwrap_or(MAX_EXPECTED_WAIT).min(MAX_EXPECTED_WAIT)
     }
 
     fn order_key(&self, job: &Job, value_model: &ValueModel, now: Instant) -> OrderKey {
@@ -252,6 +259,17 @@
             .map_or(Duration::ZERO, |service_queue| service_queue.expected_wait_at(ahead, now))
     }
 
+    /// Sets the requests per second that the upstreams of a service take at most.
+    pub(super) fn set_rate_bound(&mut self, service: ServiceId, per_second: Option<f64>) {
+        match self.services.get_mut(&service) {
+            Some(service_queue) => service_queue.rate_bound = per_second,
+            None if per_second.is_some() => {
+                self.services.entry(service).or_default().rate_bound = per_second;
+            }
+            None => {}
+        }
+    }
+
     /// Updates the placement rate with a request that was assigned a slot.
     pub(super) fn record_placement(&mut self, service: ServiceId, now: Instant) {
         let increment = 1.0 / RATE_TIME_CONSTANT.as_secs_f64();
--- a/components/gateway/src/scheduler/upstream_state.rs
+++ b/components/gateway/src/scheduler/upstream_state.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use super::pace::Pace;
 use super::speed::{SpeedEstimate, milliseconds};
 use super::{AttemptOutcome, Job, Observation, SlotId};
 use crate::model::{PeerId, Upstream, UpstreamId};
@@ -76,6 +77,8 @@
     pub(super) speed: SpeedEstimate,
     in_flight: HashMap<SlotId, InFlight>,
     extra_slots: ExtraSlots,
+    /// Bounds the requests per second, if the upstream names a limit.
+    pace: Option<Pace>,
     /// Expected end of the prefill of all assigned requests. It is an estimate: gateways report the
     /// time of a first event only when the response ends.
     prefill_done_at: Instant,
@@ -96,6 +99,7 @@
             speed: SpeedEstimate::default(),
             in_flight: HashMap::new(),
             extra_slots: ExtraSlots::default(),
+            pace: None,
             prefill_done_at: now,
             failure_rate: 0.0,
             paused_until: None,
@@ -122,10 +126,25 @@
         }
     }
 
-    /// Whether the upstream may be assigned requests.
+    /// Limits the requests per second that the upstream is assigned, or ends the limit.
+    pub(super) fn set_rate(&mut self, per_second: Option<f64>, now: Instant) {
+        match (&mut self.pace, per_second) {
+            (Some(pace), Some(per_second)) => pace.set_rate(per_second, now),
+            (pace, per_second) => *pace = per_second.map(|rate| Pace::new(rate, now)),
+        }
+    }
+
+    /// Requests per second that the upstream may be assigned; `None` for any number.
+    pub(super) fn rate(&self) -> Option<f64> {
+        self.pace.as_ref().map(Pace::per_second)
+    }
+
+    /// Whether the upstream may be assigned requests now. One that has had as many as its limit
+    /// allows is no candidate: its neighbours take the next ones, even if they suit them less.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
         let paused = self.paused_until.is_some_and(|until| now < until);
-        !self.upstream.draining && !self.is_replaced && !paused
+        let within_limit = self.pace.as_ref().is_none_or(|pace| pace.allows(now));
+        !self.upstream.draining && !self.is_replaced && !paused && within_limit
     }
 
     /// Moving average of the share of failed attempts, 0 to 1.
@@ -152,6 +171,9 @@
         self.prefill_done_at = now + Duration::from_secs_f64(prefill_ms / 1_000.0);
         let backlog_tokens = prefill_ms / self.speed.prefill_ms(1.0);
         self.in_flight.insert(slot, InFlight { backlog_tokens });
+        if let Some(pace) = &mut self.pace {
+            pace.record_assignment(now);
+        }
     }
 
     /// Records a slot that another scheduler has assigned.
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -5,7 +5,8 @@
 use gateway::broker::Message;
 use gateway::model::{Position, UpstreamId};
 use gateway::part_quarantine::PartNews;
-use gateway::peers::{Digest, Member, Peers, Recipients};
+use gateway::peers::{Digest, DigestExtension, Member, Peers, Recipients};
+use gateway::upstream_limits::LimitNews;
 
 fn member(id: u64, port: u16) -> Member {
     Member { id, address: ([127, 0, 0, 1], port).into(), zone: "a".to_owned(), cores: 0.2 }
@@ -52,9 +53,8 @@
     assert_eq!(peers.gateway_count(), 3);
 }
 
-#[test]
-fn a_digest_round_trips_through_its_encoding() {
-    let digest = Digest {
+fn digest() -> Digest {
+    Digest {
         from: u64::MAX,
         sequence: 9,
         leaving: true,
@@ -66,13 +66,37 @@
         part_news: PartNews::default(),
         leaving_upstreams: vec![UpstreamId(8)],
         acknowledged: vec![(1, 2)],
-    };
-    let message = Message::Digest(digest);
+        extension: DigestExtension {
+            limits: vec![LimitNews { upstream: UpstreamId(9), per_second: Some(2.2), ms_ago: 80 }],
+        },
+    }
+}
+
+#[test]
+fn a_digest_round_trips_through_its_encoding() {
+    let message = Message::Digest(digest());
     let bytes = message.encode().expect("encodes");
     assert_eq!(Message::decode(&bytes), Ok(message));
     assert!(Message::decode(&bytes[..3]).is_err());
 }
 
+/// Gateways of two versions run beside each other while they are replaced one after the other.
+#[test]
+fn gateways_do_not_understand_digests_of_the_version_before_or_after() {
+    let earlier = Digest { extension: DigestExtension::default(), ..digest() };
+    let message = Message::Digest(digest());
+    let bytes = message.encode().expect("encodes");
+    // The version before decodes what follows the format byte and does not look at the rest.
+    assert_eq!(postcard::from_bytes(&bytes[1..]), Ok(Message::Digest(earlier.clone())));
+    let extension = postcard::to_stdvec(&digest().extension).expect("encodes");
+    let of_version_before = &bytes[..bytes.len() - extension.len()];
+    assert_eq!(Message::decode(of_version_before), Ok(Message::Digest(earlier)));
+    let mut of_version_after = bytes.clone();
+    of_version_after.extend([1, 2, 3]);
+    assert_eq!(Message::decode(&of_version_after), Ok(message));
+    assert!(Message::decode(&bytes[..bytes.len() - 1]).is_err(), "half of a field");
+}
+
 #[test]
 fn recipients_are_those_of_a_zone_or_of_all_others() {
     let now = Instant::now();
