Log what requests with a failed attempt ask for

upstream.failed names a hash of method, host, path, customer and body, so that a request which comes again under another id can be told at the ends of several upstreams; this decides between the hypotheses on upstreams that end one after the other. No decision changes.

--- a/components/gateway/src/model/mod.rs
+++ b/components/gateway/src/model/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod position;
 mod request;
+mod request_hash;
 mod upstream;
 
 /// Id of a gateway process; differs at each start.
@@ -14,5 +15,6 @@
 };
 pub use position::{ParsePositionError, Position};
 pub use request::{PromptPart, RequestMetadata, ResponseMetadata, StatedLimit};
+pub use request_hash::{RequestContent, RequestHash};
 pub(crate) use upstream::Distance;
 pub use upstream::{InstanceId, ServiceId, Topology, Upstream, UpstreamId};
--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of requests: route, customer key, allowance.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
 use super::caller_request::IncomingRequest;
 use super::state::Shared;
 use crate::allowance::{CustomerId, request_cost};
-use crate::model::{Customer, RequestMetadata, Route, ServiceId};
+use crate::model::{Customer, RequestContent, RequestHash, RequestMetadata, Route, ServiceId};
 use crate::routes::pick_target;
 use crate::scheduler::{Job, Priority, RouteId};
 
@@ -77,6 +78,7 @@
     pub(super) deadline: Instant,
     /// Units that were charged to the customer's allowance.
     charged_units: f64,
+    hash: OnceCell<RequestHash>,
 }
 
 impl AdmittedRequest {
@@ -104,6 +106,20 @@
         }
     }
 
+    /// Hash of what the request asks for, computed when it is first needed.
+    pub(super) fn hash(&self) -> RequestHash {
+        let target = self.target.path_and_query().map_or("", |target| target.as_str());
+        *self.hash.get_or_init(|| {
+            RequestHash::of(RequestContent {
+                method: self.method.as_str(),
+                host: &self.route.host,
+                target,
+                customer: self.customer.as_ref().map(|customer| customer.name.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Whether the caller seems to have tried before: its timeout is shorter than the route's.
     fn is_caller_retry(&self) -> bool {
         let timeout = self.metadata.timeout;
@@ -185,6 +201,7 @@
             arrived,
             deadline,
             charged_units,
+            hash: OnceCell::new(),
         })
     }
 
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -224,10 +224,11 @@
     ) {
         let instance = slot.upstream().instance.clone();
         warn!(
-            "upstream.failed id={} route={} instance={instance} reason={reason:?} begun={} parts={}",
+            "upstream.failed id={} route={} instance={instance} reason={reason:?} begun={} request={} parts={}",
             admitted.metadata.attempt_id,
             admitted.route.name,
             slot.has_begun(),
+            admitted.hash(),
             describe_shared_parts(&admitted.metadata),
         );
         self.record_failed_parts(admitted, slot);
