Quarantine whole requests under which upstreams end

Cause: evidence was kept by shared prompt part alone, and only on streams. Ruled out: load on upstreams that have just started (the pairs of ends follow the retry of one request) and upstreams that are taken away (each ends while it runs requests).

Change: one quarantine of causes, of which a prompt part and a whole request are two. A complete response clears a request, a server's error neither clears nor accuses. Only connections that break before the response begins are evidence now; silent upstreams and responses to another request were evidence against parts too, although neither shows an end. News of requests follow the digest's earlier fields.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -83,6 +83,7 @@
     ConfigurationMissing = 2007, 503, "configuration_missing", "No configuration has been received yet.";
     RetryBudgetSpent = 2008, 503, "retry_budget_spent", "Too many requests are being retried at the moment.";
     PromptQuarantined = 2009, 503, "prompt_quarantined", "The prompt has a part under which upstreams have ended; it is tried again from time to time.";
+    RequestQuarantined = 2010, 503, "request_quarantined", "Upstreams have ended under the same request; it is tried again from time to time.";
     UpstreamFailed = 3001, 502, "upstream_failed", "The upstream failed while processing the request.";
     UpstreamLost = 3002, 504, "upstream_lost", "Communication with the upstream was lost after the request was dispatched.";
     AlreadyRunning = 3003, 409, "already_running", "The same request is already being processed.";
--- a/components/gateway/src/broker/election.rs
+++ b/components/gateway/src/broker/election.rs
@@ -1,11 +1,11 @@
 //! Elects the broker of a service, the owner of a customer's token bucket and the tester of a
-//! prompt part.
+//! quarantined cause.
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::allowance::CustomerId;
+use crate::crash_quarantine::Cause;
 use crate::model::{PeerId, ServiceId};
-use crate::part_quarantine::PartId;
 use crate::peers::Candidate;
 
 /// A candidate with less than this share of the largest candidate's CPU capacity is ranked as a
@@ -19,8 +19,8 @@
     Service(ServiceId),
     /// Owning the token bucket of a customer.
     Customer(CustomerId),
-    /// Testing a quarantined prompt part.
-    PromptPart(PartId),
+    /// Testing a quarantined request or prompt part.
+    Cause(Cause),
 }
 
 /// Ranks all candidates by weighted rendezvous hashing: the first is elected, the next ones are its
@@ -40,7 +40,8 @@
     let (kind, number) = match election_key {
         ElectionKey::Service(service) => (0_u8, service.number()),
         ElectionKey::Customer(customer) => (1, customer.number()),
-        ElectionKey::PromptPart(part) => (2, xxh3_64(&part.to_le_bytes()) as u32),
+        ElectionKey::Cause(Cause::PromptPart(part)) => (2, xxh3_64(&part.to_le_bytes()) as u32),
+        ElectionKey::Cause(Cause::Request(hash)) => (3, xxh3_64(&hash.0.to_le_bytes()) as u32),
     };
     let mut key = [0; 13];
     key[0] = kind;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,19 +1,19 @@
 //! Gateway in front of upstreams that are reached without an agent in between.
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
-//! `part_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`,
+//! `crash_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`,
 //! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`)
 //! do no I/O: they take facts and the current time and return decisions. `runtime` carries the
 //! decisions out on one thread. A platform adapter implements `HeaderCodec` and feeds `Directory`.
 
 pub mod allowance;
 pub mod broker;
+pub mod crash_quarantine;
 pub mod customers;
 pub mod events;
 pub mod freshness;
 pub mod header_codec;
 pub mod model;
-pub mod part_quarantine;
 pub mod peers;
 pub mod reachability;
 pub mod read_schedule;
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{PeerId, Position, UpstreamId};
-use crate::part_quarantine::PartNews;
+use crate::crash_quarantine::{PartId, QuarantineNews};
+use crate::model::{PeerId, Position, RequestHash, UpstreamId};
 use crate::upstream_limits::LimitNews;
 
 /// State of the store as known to a gateway. Each digest is self-contained, so that a lost one only
@@ -27,7 +27,7 @@
     /// Whether the sender is receiving a long response of the store.
     pub receiving: bool,
     /// What the sender knows of prompt parts under which engines end.
-    pub part_news: PartNews,
+    pub part_news: QuarantineNews<PartId>,
     /// Upstreams whose responses to the sender say that they leave.
     pub leaving_upstreams: Vec<UpstreamId>,
     /// Newest digests that the sender has received from gateways of its zone, by sequence number.
@@ -44,4 +44,6 @@
 pub struct DigestExtension {
     /// Limits that upstreams have named to the sender.
     pub limits: Vec<LimitNews>,
+    /// What the sender knows of requests under which upstreams end.
+    pub request_news: QuarantineNews<RequestHash>,
 }
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -131,6 +131,7 @@
             Ok(response) => self.check_response(admitted, slot, connection, response),
             Err(LinkError::NotSent(_)) => SendResult::Ended(AttemptResult::NotSent),
             Err(LinkError::Unknown(reason)) => {
+                self.record_broken_off(admitted, slot);
                 self.record_failure(admitted, slot, &reason);
                 SendResult::Ended(AttemptResult::Unknown)
             }
@@ -231,7 +232,6 @@
             admitted.hash(),
             describe_shared_parts(&admitted.metadata),
         );
-        self.record_failed_parts(admitted, slot);
         slot.release(AttemptOutcome::Failed);
     }
 
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -9,7 +9,7 @@
 
 use super::admission::{AdmittedRequest, clamp_retry_after, max_retry_after};
 use super::attempt::{SendResult, StartedResponse, read_body};
-use super::parts::PartCheck;
+use super::quarantine::QuarantineCheck;
 use super::relay::{Relay, RelayStart};
 use super::response::CallerResponse;
 use super::slot_guard::SlotGuard;
@@ -123,12 +123,12 @@
     admitted: &AdmittedRequest,
     attempts: &Attempts,
 ) -> Result<SlotGuard, Refusal> {
-    let check = shared.check_parts(admitted)?;
+    let check = shared.check_quarantine(admitted)?;
     let rejection = match slots::acquire(shared, attempt_job(admitted, attempts)).await {
         Ok(slot) => {
-            // A part may have been quarantined while the request waited.
-            if check != PartCheck::Tests {
-                shared.check_parts(admitted)?;
+            // It may have been quarantined while it waited.
+            if check != QuarantineCheck::Tests {
+                shared.check_quarantine(admitted)?;
             }
             return Ok(slot);
         }
@@ -203,6 +203,7 @@
             let failed = status.is_server_error();
             shared.keep_connection(slot, connection, &metadata);
             slot.release(if failed { AttemptOutcome::Failed } else { AttemptOutcome::Served });
+            shared.record_response(admitted, status);
             let result = AttemptResult::Answered { status: status.as_u16() };
             AttemptEnd::Ended(result, Some(CallerResponse::Complete { status, headers, body }))
         }
--- a/components/gateway/src/runtime/internal_server.rs
+++ b/components/gateway/src/runtime/internal_server.rs
@@ -25,7 +25,8 @@
         let waiting_requests = self.pending_slot_requests.borrow().len();
         let gateways = self.peers.borrow().gateway_count();
         self.metrics.set_load(open_requests, waiting_requests, gateways);
-        self.metrics.set_quarantined_parts(self.part_quarantine.borrow().quarantined_count());
+        let (parts, requests) = self.crash_quarantine.borrow().quarantined_counts();
+        self.metrics.set_quarantined(parts, requests);
         self.metrics.set_leaving_upstreams(self.upstream_notices.borrow().leaving_count());
         self.metrics.set_limited_upstreams(self.upstream_limits.borrow().limits().count());
         Response::build(StatusCode::OK)
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -21,6 +21,7 @@
     waiting_requests: IntGauge,
     gateways: IntGauge,
     quarantined_parts: IntGauge,
+    quarantined_requests: IntGauge,
     leaving_upstreams: IntGauge,
     limited_upstreams: IntGauge,
     slot_replies: IntCounterVec,
@@ -63,6 +64,8 @@
         registry.register(Box::new(first_event_seconds.clone()))?;
         let quarantined_parts =
             gauge("quarantined_parts", "Prompt parts whose requests are refused")?;
+        let quarantined_requests =
+            gauge("quarantined_requests", "Requests that are refused whenever they come")?;
         let leaving_upstreams =
             gauge("leaving_upstreams", "Upstreams that have said that they leave")?;
         let limited_upstreams =
@@ -73,6 +76,7 @@
             &waiting_requests,
             &gateways,
             &quarantined_parts,
+            &quarantined_requests,
             &leaving_upstreams,
             &limited_upstreams,
         ] {
@@ -89,6 +93,7 @@
             waiting_requests,
             gateways,
             quarantined_parts,
+            quarantined_requests,
             leaving_upstreams,
             limited_upstreams,
             slot_replies,
@@ -108,8 +113,10 @@
         self.slot_replies.with_label_values(&[reply]).inc();
     }
 
-    pub(super) fn set_quarantined_parts(&self, count: usize) {
-        self.quarantined_parts.set(i64::try_from(count).unwrap_or(i64::MAX));
+    /// Sets the numbers of quarantined prompt parts and requests.
+    pub(super) fn set_quarantined(&self, parts: usize, requests: usize) {
+        self.quarantined_parts.set(i64::try_from(parts).unwrap_or(i64::MAX));
+        self.quarantined_requests.set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
 
     pub(super) fn set_leaving_upstreams(&self, count: usize) {
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -216,15 +216,18 @@
         let uptime = self.clock.uptime();
         self.read_schedule.borrow_mut().record_digest_sent(sequence, uptime);
         let age = self.freshness.get().age(uptime);
-        let extension =
-            DigestExtension { limits: self.upstream_limits.borrow().news(self.clock.now()) };
+        let now = self.clock.now();
+        let extension = DigestExtension {
+            limits: self.upstream_limits.borrow().news(now),
+            request_news: self.crash_quarantine.borrow().request_news(now),
+        };
         Digest {
             fingerprint: self.fingerprint(),
             position: self.read_schedule.borrow().position(),
             confirmed_ms_ago: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
             receiving: self.read_schedule.borrow().is_receiving(uptime),
-            leaving_upstreams: self.upstream_notices.borrow().leaving_news(self.clock.now()),
-            part_news: self.part_quarantine.borrow().news(self.clock.now()),
+            leaving_upstreams: self.upstream_notices.borrow().leaving_news(now),
+            part_news: self.crash_quarantine.borrow().part_news(now),
             acknowledged,
             extension,
             from: self.process_id,
@@ -305,7 +308,8 @@
             let confirmed_at = self.clock.uptime().saturating_sub(age);
             self.peers.borrow_mut().record_confirmation(digest.from, confirmed_at);
         }
-        self.handle_part_news(digest.from, &digest.part_news);
+        self.handle_quarantine_news(digest.from, &digest.part_news);
+        self.handle_quarantine_news(digest.from, &digest.extension.request_news);
         self.handle_leaving_upstreams(digest.from, &digest.leaving_upstreams);
         self.handle_limits(digest.from, &digest.extension.limits);
         self.handle_peer_read(digest);
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -124,6 +124,7 @@
             }
             ReadResult::Broken(reason) => {
                 relay.upstream_response = None;
+                relay.shared.record_broken_off(&relay.admitted, &relay.slot);
                 relay.shared.record_failure(&relay.admitted, &mut relay.slot, &reason);
                 RelayStart::Broken
             }
@@ -172,6 +173,7 @@
                 }
             };
             self.upstream_response = None;
+            self.shared.record_broken_off(&self.admitted, &self.slot);
             self.shared.record_failure(&self.admitted, &mut self.slot, &reason);
             if !self.resume().await {
                 self.log_stream_end("broken");
@@ -212,7 +214,7 @@
         let before = self.event_count;
         self.event_count += count;
         if before < ANSWERED_EVENTS && self.event_count >= ANSWERED_EVENTS {
-            self.shared.record_answered_parts(&self.admitted);
+            self.shared.record_answered(&self.admitted);
         }
         if self.first_event_at.is_none() {
             self.first_event_at = Some(self.shared.clock.now());
@@ -229,7 +231,7 @@
         }
         self.slot.release(AttemptOutcome::Served);
         if (1..ANSWERED_EVENTS).contains(&self.event_count) {
-            self.shared.record_answered_parts(&self.admitted);
+            self.shared.record_answered(&self.admitted);
         }
         self.log_stream_end("complete");
     }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -20,11 +20,11 @@
 use crate::Settings;
 use crate::allowance::{BucketOwner, CreditReply, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
+use crate::crash_quarantine::CrashQuarantine;
 use crate::customers::CustomerKeys;
 use crate::freshness::Freshness;
 use crate::header_codec::HeaderCodec;
 use crate::model::{Allowance, CallerLimits, PeerId, Position, ServiceId, Upstream, UpstreamId};
-use crate::part_quarantine::PartQuarantine;
 use crate::peers::Peers;
 use crate::reachability::Reachability;
 use crate::read_schedule::ReadSchedule;
@@ -119,8 +119,8 @@
     pub(super) upstream_limits: RefCell<UpstreamLimits>,
     /// Whether the broker was last given rates at which it may assign requests.
     pub(super) has_rates: Cell<bool>,
-    /// Prompt parts under which engines end.
-    pub(super) part_quarantine: RefCell<PartQuarantine>,
+    /// Requests and prompt parts under which upstreams end.
+    pub(super) crash_quarantine: RefCell<CrashQuarantine>,
     /// What this gateway knows from the store, for others that know less.
     pub(super) store_copy: RefCell<StoreCopy>,
     /// Changes between two positions as last sent to a peer, since a zone asks for the same ones.
@@ -180,7 +180,7 @@
             upstream_notices: RefCell::default(),
             upstream_limits: RefCell::default(),
             has_rates: Cell::new(false),
-            part_quarantine: RefCell::default(),
+            crash_quarantine: RefCell::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
             due_peer_read: Cell::default(),
@@ -309,7 +309,7 @@
             peers.expire_departed(now);
             self.peer_health.borrow_mut().retain(|id| peers.is_member(id));
         }
-        self.part_quarantine.borrow_mut().expire(now);
+        self.crash_quarantine.borrow_mut().expire(now);
         self.expire_upstream_notices(now);
         self.pool.evict_expired(now);
         self.update_store_lag();
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use gateway::broker::Message;
-use gateway::model::{Position, UpstreamId};
-use gateway::part_quarantine::PartNews;
+use gateway::crash_quarantine::{BrokenAttempt, QuarantineNews};
+use gateway::model::{Position, RequestHash, UpstreamId};
 use gateway::peers::{Digest, DigestExtension, Member, Peers, Recipients};
 use gateway::upstream_limits::LimitNews;
 
@@ -63,11 +63,19 @@
         position: Some(Position { era: 1, revision: 70 }),
         confirmed_ms_ago: Some(120),
         receiving: true,
-        part_news: PartNews::default(),
+        part_news: QuarantineNews::default(),
         leaving_upstreams: vec![UpstreamId(8)],
         acknowledged: vec![(1, 2)],
         extension: DigestExtension {
             limits: vec![LimitNews { upstream: UpstreamId(9), per_second: Some(2.2), ms_ago: 80 }],
+            request_news: QuarantineNews {
+                broken: vec![BrokenAttempt {
+                    cause: RequestHash(u128::MAX),
+                    upstream: UpstreamId(9),
+                    ms_ago: 7,
+                }],
+                ..QuarantineNews::default()
+            },
         },
     }
 }
