Do not take reads of an older copy as confirmations of keys

Cause: the store had acknowledged the revocation and lost it in a restore before any gateway read it. The copy still held the key, and a read of it counted as a confirmation, so that a gateway that then lost the store accepted the key for another 2 s. Ruled out: configurations that go back (the version in force never does; here no gateway had the later one).

Change: for 2 s after a restore, unless the configuration is written earlier, own reads confirm no keys. Digests tell by how much the confirmation of keys is older than that of the state; peers without that field have none. A gateway that starts over a store that has ever been restored begins in this state, as it cannot know when.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
 //! `crash_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`,
-//! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`)
-//! do no I/O: they take facts and the current time and return decisions. `runtime` carries the
-//! decisions out on one thread. A platform adapter implements `HeaderCodec` and feeds `Directory`.
+//! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`,
+//! `key_confirmation`) do no I/O: they take facts and the current time and return decisions.
+//! `runtime` carries the decisions out on one thread. A platform adapter implements `HeaderCodec`
+//! and feeds `Directory`.
 
 pub mod allowance;
 pub mod broker;
@@ -13,6 +14,7 @@
 pub mod events;
 pub mod freshness;
 pub mod header_codec;
+pub mod key_confirmation;
 pub mod model;
 pub mod peers;
 pub mod reachability;
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -46,4 +46,7 @@
     pub limits: Vec<LimitNews>,
     /// What the sender knows of requests under which upstreams end.
     pub request_news: QuarantineNews<RequestHash>,
+    /// Milliseconds between the last confirmation of customers' keys and that of the state: the
+    /// store may hold an older copy, in which keys are valid that were taken away.
+    pub keys_lag_ms: u32,
 }
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -9,6 +9,7 @@
 use super::state::{ActiveConfiguration, Shared};
 use crate::allowance::CustomerId;
 use crate::customers::CustomerKeys;
+use crate::key_confirmation::KeyConfirmation;
 use crate::model::{Configuration, Customer, Position, Upstream};
 use crate::peers::{Candidate, Member};
 use crate::routes::RouteTable;
@@ -28,7 +29,7 @@
             warn!("configuration.older offered={} kept={previous}", configuration.version);
             return;
         }
-        self.record_confirmation(queried_at);
+        self.record_own_read(queried_at);
         if configuration.version == previous && previous != 0 {
             return;
         }
@@ -59,7 +60,7 @@
     fn confirm(&self, queried_at: Duration, position: Position) {
         self.apply_upstream_changes();
         self.read_schedule.borrow_mut().record_read(queried_at, position);
-        self.record_confirmation(queried_at);
+        self.record_own_read(queried_at);
         self.announce_read();
     }
 
@@ -136,9 +137,19 @@
 
     fn mark_store_restored(&self, era: u64) {
         self.upstream_table.borrow_mut().mark_store_restored(self.clock.now());
+        self.mark_copy_possible();
         info!("store.restored era={era}");
     }
 
+    fn mark_copy_possible(&self) {
+        let uptime = self.clock.uptime();
+        self.update_key_confirmation(|confirmation| confirmation.record_restore(uptime));
+    }
+
+    fn mark_configuration_written(&self) {
+        self.update_key_confirmation(KeyConfirmation::record_configuration_written);
+    }
+
     fn mark_store_lost(&self, reason: &str) {
         self.read_schedule.borrow_mut().set_store_unreachable(true);
         let age = self.freshness.get().age(self.clock.uptime());
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -98,6 +98,10 @@
     /// Records that the store has come back from an older copy, before what it holds now is
     /// reported.
     fn mark_store_restored(&self, era: u64);
+    /// Records that the store may have come back from an older copy just before the first read.
+    fn mark_copy_possible(&self);
+    /// Records that the operators have written the configuration since the last read of everything.
+    fn mark_configuration_written(&self);
     /// Records that the store cannot be reached from here. It counts as lost once it has confirmed
     /// nothing to any gateway of the zone for some time.
     fn mark_store_lost(&self, reason: &str);
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -220,6 +220,7 @@
         let extension = DigestExtension {
             limits: self.upstream_limits.borrow().news(now),
             request_news: self.crash_quarantine.borrow().request_news(now),
+            keys_lag_ms: self.keys_lag_ms(),
         };
         Digest {
             fingerprint: self.fingerprint(),
@@ -237,6 +238,14 @@
         }
     }
 
+    /// Milliseconds by which the last confirmation of customers' keys is older than that of the
+    /// state.
+    fn keys_lag_ms(&self) -> u32 {
+        let state_at = self.freshness.get().confirmed_at().unwrap_or_default();
+        let Some(keys_at) = self.key_confirmation.get().confirmed_at() else { return u32::MAX };
+        u32::try_from(state_at.saturating_sub(keys_at).as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// Takes the peer's last read of the store as a confirmation if both gateways know the same
     /// state. The next own read then continues where the peer's ended.
     fn handle_peer_read(&self, digest: &Digest) {
@@ -253,6 +262,10 @@
         let confirmed_at = self.read_schedule.borrow_mut().apply_peer_read(peer_read, uptime);
         if let Some(confirmed_at) = confirmed_at {
             self.record_confirmation(confirmed_at);
+            let keys_lag = Duration::from_millis(digest.extension.keys_lag_ms.into());
+            if let Some(confirmed_at) = confirmed_at.checked_sub(keys_lag) {
+                self.update_key_confirmation(|keys| keys.confirm_by_peer(confirmed_at));
+            }
             // What a peer reads shows which upstreams have left, also if this gateway reads nothing.
             if uptime.saturating_sub(confirmed_at) < STORE_LOST_AFTER {
                 self.end_store_outage();
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -24,6 +24,7 @@
 use crate::customers::CustomerKeys;
 use crate::freshness::Freshness;
 use crate::header_codec::HeaderCodec;
+use crate::key_confirmation::KeyConfirmation;
 use crate::model::{Allowance, CallerLimits, PeerId, Position, ServiceId, Upstream, UpstreamId};
 use crate::peers::Peers;
 use crate::reachability::Reachability;
@@ -78,6 +79,7 @@
     pub(super) pool: Pool,
     pub(super) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
     pub(super) freshness: Cell<Freshness>,
+    pub(super) key_confirmation: Cell<KeyConfirmation>,
     store_lag: Cell<StoreLag>,
     pub(super) own_zone: Rc<str>,
     /// Socket for datagrams to and from other gateways.
@@ -166,6 +168,7 @@
             pool: Pool::default(),
             active_configuration: RefCell::default(),
             freshness: Cell::default(),
+            key_confirmation: Cell::default(),
             store_lag: Cell::default(),
             bucket_owner: RefCell::new(BucketOwner::new(now)),
             local_credit: RefCell::new(LocalCredit::new(now)),
@@ -207,11 +210,13 @@
     /// Whether the store has confirmed the configuration recently enough to accept customers' keys.
     pub(super) fn accepts_keys(&self) -> bool {
         let validity = self.settings.borrow().key_validity;
-        validity.is_none_or(|limit| self.freshness.get().is_within(self.clock.uptime(), limit))
+        let confirmation = self.key_confirmation.get();
+        validity.is_none_or(|limit| confirmation.is_within(self.clock.uptime(), limit))
     }
 
+    /// Milliseconds since the store last confirmed customers' keys.
     pub(super) fn confirmation_age_ms(&self) -> u128 {
-        let age = self.freshness.get().age(self.clock.uptime());
+        let age = self.key_confirmation.get().age(self.clock.uptime());
         age.map_or(u128::MAX, |age| age.as_millis())
     }
 
@@ -255,6 +260,18 @@
         self.freshness.set(freshness);
     }
 
+    /// Records an own read of the store, which was sent at `queried_at`, an uptime.
+    pub(super) fn record_own_read(&self, queried_at: Duration) {
+        self.record_confirmation(queried_at);
+        self.update_key_confirmation(|confirmation| confirmation.confirm(queried_at));
+    }
+
+    pub(super) fn update_key_confirmation(&self, update: impl FnOnce(&mut KeyConfirmation)) {
+        let mut confirmation = self.key_confirmation.get();
+        update(&mut confirmation);
+        self.key_confirmation.set(confirmation);
+    }
+
     pub(super) fn reload(&self, settings: Settings) {
         self.retry_budget.borrow_mut().set_limit(settings.retry_limit);
         *self.settings.borrow_mut() = settings;
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -76,6 +76,7 @@
                 }],
                 ..QuarantineNews::default()
             },
+            keys_lag_ms: 1_200,
         },
     }
 }
