Read the store again as soon as it may confirm keys after a restore

After a restore, reads of the store confirm no keys for 2 s; the next read came up to 1.2 s later, by the usual schedule. The first reader of a zone reads at the end of that time now, and the others learn it from its digest: with the users' limit of 5 s, gateways that read the store 1.2 s before it went away for a second accept keys all along (4.5 s by sum, 5.7 s before; not measured beyond the unit test).

--- a/components/gateway/src/key_confirmation.rs
+++ b/components/gateway/src/key_confirmation.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Whether the time has ended for which reads confirm no keys, and none has confirmed them
+    /// since.
+    pub fn awaits_read(&self, uptime: Duration) -> bool {
+        self.doubtful_until.is_some_and(|until| {
+            uptime >= until && self.freshness.confirmed_at().is_none_or(|at| at < until)
+        })
+    }
+
     /// Records that a peer knows the same state, and that the store confirmed its keys then.
     pub fn confirm_by_peer(&mut self, confirmed_at: Duration) {
         self.freshness.confirm(confirmed_at);
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -71,7 +71,10 @@
     fn is_read_due(&self) -> bool {
         let uptime = self.clock.uptime();
         let rank = self.rank_in_zone();
-        self.read_schedule.borrow().is_due(self.freshness.get().age(uptime), rank, uptime)
+        let age = self.freshness.get().age(uptime);
+        // The others of the zone learn it from the first one's digest.
+        let keys_await_read = rank == 0 && self.key_confirmation.get().awaits_read(uptime);
+        keys_await_read || self.read_schedule.borrow().is_due(age, rank, uptime)
     }
 
     fn upsert_upstream(&self, upstream: Upstream) -> bool {
--- a/components/gateway/tests/key_confirmation.rs
+++ b/components/gateway/tests/key_confirmation.rs
@@ -19,8 +19,10 @@
     keys.confirm(s(12.5));
     assert_eq!(keys.confirmed_at(), Some(s(10.0)));
     assert!(keys.is_within(s(14.4), LIMIT) && !keys.is_within(s(14.6), LIMIT));
+    assert!(!keys.awaits_read(s(12.9)) && keys.awaits_read(s(13.0)));
     keys.confirm(s(13.0));
     assert_eq!(keys.confirmed_at(), Some(s(13.0)), "what was lost has been written again");
+    assert!(!keys.awaits_read(s(13.1)));
 }
 
 #[test]
