Count the reads of a zone whose store comes back from an older copy

A simulated zone of 35 gateways, as in a deployment of 103, reads the store at most four times more in the six seconds after a restore than in calm, and each gateway asks a peer at most once.

--- a/components/gateway/tests/read_schedule.rs
+++ b/components/gateway/tests/read_schedule.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gateway::freshness::Freshness;
+use gateway::key_confirmation::KeyConfirmation;
 use gateway::model::Position;
 use gateway::read_schedule::{PeerRead, ReadSchedule};
 use gateway::store_lag::StoreLag;
@@ -186,63 +187,148 @@
 struct ZoneGateway {
     read_schedule: ReadSchedule,
     freshness: Freshness,
+    keys: KeyConfirmation,
+    /// Era of the store up to which it knows the state.
+    era: u64,
     /// Sequence number of the last digest sent, and of the newest one received from each gateway.
     last_sequence: u32,
     received: Vec<Option<u32>>,
 }
 
-/// Reads of the store by a zone of gateways in calm, in `seconds`.
-fn reads_of_a_zone(gateways: usize, seconds: u64) -> usize {
+impl ZoneGateway {
+    fn learn_era(&mut self, era: u64, uptime: Duration) {
+        if self.era < era {
+            self.era = era;
+            self.keys.record_restore(uptime);
+        }
+    }
+}
+
+/// Calls of a simulated zone for what the store holds.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct ZoneCalls {
+    store_reads: usize,
+    peer_reads: usize,
+}
+
+/// A zone of gateways, whose store may come back from an older copy.
+struct Zone {
+    gateways: Vec<ZoneGateway>,
+    store_era: u64,
+    step: u64,
+}
+
+impl Zone {
     const STEP_MS: u64 = 10;
     const DIGEST_INTERVAL_MS: u64 = 200;
-    let mut zone: Vec<ZoneGateway> = (0..gateways)
-        .map(|_| ZoneGateway {
+
+    fn new(gateways: usize) -> Zone {
+        let gateway = |_| ZoneGateway {
             read_schedule: ReadSchedule::default(),
             freshness: Freshness::default(),
+            keys: KeyConfirmation::default(),
+            era: 0,
             last_sequence: 0,
             received: vec![None; gateways],
-        })
-        .collect();
-    let mut reads = 0;
-    for step in 0..seconds * 1_000 / STEP_MS {
-        let uptime = ms(step * STEP_MS);
+        };
+        Zone { gateways: (0..gateways).map(gateway).collect(), store_era: 0, step: 0 }
+    }
+
+    /// Plays some seconds.
+    fn play(&mut self, seconds: u64) -> ZoneCalls {
+        let mut calls = ZoneCalls::default();
+        for _ in 0..seconds * 1_000 / Self::STEP_MS {
+            let uptime = ms(self.step * Self::STEP_MS);
+            for sender in self.read_when_due(uptime, &mut calls) {
+                self.send_digest(sender, uptime, &mut calls);
+            }
+            self.step += 1;
+        }
+        calls
+    }
+
+    /// Reads the store where that is due. Returns the gateways that send a digest then.
+    fn read_when_due(&mut self, uptime: Duration, calls: &mut ZoneCalls) -> Vec<usize> {
         let mut senders = Vec::new();
-        for (rank, gateway) in zone.iter_mut().enumerate() {
+        for (rank, gateway) in self.gateways.iter_mut().enumerate() {
             let age = gateway.freshness.age(uptime);
-            if gateway.read_schedule.is_due(age, rank as u32, uptime) {
-                gateway.read_schedule.record_read(uptime, at(step));
+            let keys_await_read = rank == 0 && gateway.keys.awaits_read(uptime);
+            if keys_await_read || gateway.read_schedule.is_due(age, rank as u32, uptime) {
+                // A watch that is answered in another era is followed by a read of everything.
+                calls.store_reads += if gateway.era < self.store_era { 2 } else { 1 };
+                gateway.learn_era(self.store_era, uptime);
+                let position = Position { era: gateway.era, revision: self.step };
+                gateway.read_schedule.record_read(uptime, position);
                 gateway.freshness.confirm(uptime);
-                reads += 1;
+                gateway.keys.confirm(uptime);
                 senders.push(rank);
-            } else if (step + rank as u64 * 7) * STEP_MS % DIGEST_INTERVAL_MS < STEP_MS {
+            } else if (self.step + rank as u64 * 7) * Self::STEP_MS % Self::DIGEST_INTERVAL_MS
+                < Self::STEP_MS
+            {
                 senders.push(rank);
             }
         }
-        for sender in senders {
-            zone[sender].last_sequence += 1;
-            let sequence = zone[sender].last_sequence;
-            zone[sender].read_schedule.record_digest_sent(sequence, uptime);
-            let age = zone[sender].freshness.age(uptime);
-            let acknowledged = zone[sender].received.clone();
-            for receiver in (0..gateways).filter(|receiver| *receiver != sender) {
-                let peer_read = PeerRead {
-                    peer: 9,
-                    receiving: false,
-                    acknowledged: acknowledged[receiver],
-                    age,
-                    same_fingerprint: true,
-                    position: Some(at(90)),
-                };
-                let gateway = &mut zone[receiver];
-                gateway.received[sender] = Some(sequence);
-                if let Some(confirmed_at) = gateway.read_schedule.apply_peer_read(peer_read, uptime)
-                {
-                    gateway.freshness.confirm(confirmed_at);
-                }
+        senders
+    }
+
+    fn send_digest(&mut self, sender: usize, uptime: Duration, calls: &mut ZoneCalls) {
+        let gateway = &mut self.gateways[sender];
+        gateway.last_sequence += 1;
+        let sequence = gateway.last_sequence;
+        gateway.read_schedule.record_digest_sent(sequence, uptime);
+        let age = gateway.freshness.age(uptime);
+        let (acknowledged, sender_era) = (gateway.received.clone(), gateway.era);
+        for receiver in (0..self.gateways.len()).filter(|receiver| *receiver != sender) {
+            let gateway = &mut self.gateways[receiver];
+            let position = Some(Position { era: sender_era, revision: 90 });
+            let peer_read = PeerRead {
+                peer: 9,
+                receiving: false,
+                acknowledged: acknowledged[receiver],
+                age,
+                same_fingerprint: sender_era == gateway.era,
+                position,
+            };
+            gateway.received[sender] = Some(sequence);
+            if let Some(confirmed_at) = gateway.read_schedule.apply_peer_read(peer_read, uptime) {
+                gateway.freshness.confirm(confirmed_at);
+            }
+            if gateway.read_schedule.begin_peer_read().is_some() {
+                calls.peer_reads += 1;
+                gateway.learn_era(sender_era, uptime);
+                gateway
+                    .read_schedule
+                    .record_shared_read(Position { era: sender_era, revision: 91 });
+                gateway.read_schedule.end_peer_read(uptime);
             }
         }
     }
-    reads
+}
+
+/// Reads of the store by a zone of gateways in calm, in `seconds`.
+fn reads_of_a_zone(gateways: usize, seconds: u64) -> usize {
+    Zone::new(gateways).play(seconds).store_reads
+}
+
+/// Load pattern: a zone of a deployment with 103 gateways, and the store comes back from an older
+/// copy. Each gateway needs everything again; one reads it, the others get it from peers.
+#[test]
+fn all_gateways_of_a_zone_read_the_store_when_it_has_been_restored() {
+    const SECONDS: u64 = 6;
+    for gateways in [1, 3, 35] {
+        let mut zone = Zone::new(gateways);
+        zone.play(12);
+        let in_calm = zone.play(SECONDS);
+        zone.store_era += 1;
+        let after_restore = zone.play(SECONDS);
+        let context = format!("{gateways} gateways: {in_calm:?}, {after_restore:?}");
+        // Two calls of the first reader for the new era, and one at the end of the time in which
+        // reads confirm no keys.
+        assert!(after_restore.store_reads <= in_calm.store_reads + 4, "{context}");
+        assert!(after_restore.peer_reads <= gateways, "{context}");
+        let knows = |gateway: &ZoneGateway| gateway.era == 1;
+        assert!(zone.gateways.iter().all(knows), "{context}");
+    }
 }
 
 /// Load pattern: a large zone in calm. The calls to the store must not grow with its gateways.
