Wait for the end of a pause that all upstreams of a service have asked for

A request that came while all upstreams wanted nothing for 0.4 s waited 0.8 s and was rejected; one that came while they wanted nothing for 30 s heard so after 0.8 s.

Cause: the upstreams in a pause were excluded from the slot request when it was made, for as long as it was queued. The class: a list of what is unsuitable now is kept for a request that waits.

Change: while all upstreams that a request may use have asked for a pause, it waits until the first one may be asked, or is rejected at once, with the time until then, if that is after its queue deadline. Exclusions are computed again for each slot request.

--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -6,7 +6,7 @@
 use errors::ResultCode;
 use log::info;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::peer_socket::RETRANSMIT_INTERVAL;
 use super::slot_guard::SlotGuard;
@@ -15,6 +15,7 @@
 use crate::model::{PeerId, ServiceId, Upstream, UpstreamId};
 use crate::peers::Candidate;
 use crate::scheduler::{AttemptOutcome, Job, Observation, Rejection, RejectionReason};
+use crate::upstream_notices::PauseDecision;
 
 /// Time without any reply after which a broker counts as unavailable: several retransmissions, and
 /// a fraction of the shortest latency objective.
@@ -65,14 +66,26 @@
 /// unavailable.
 pub(super) async fn acquire(shared: &SharedRef, mut job: Job) -> Result<SlotGuard, Rejection> {
     let mut unavailable_brokers = Vec::new();
+    // Unlike those that have asked for a pause, these stay excluded.
+    let mut excluded = job.excluded.clone();
     loop {
-        shared.update_unsuitable_upstreams(&mut job);
+        match shared.check_pauses(&job, &excluded) {
+            PauseDecision::RequestSlot => {}
+            PauseDecision::Wait(pause) => {
+                sleep(pause).await;
+                continue;
+            }
+            PauseDecision::Reject(retry_after) => {
+                return Err(Rejection { reason: RejectionReason::NoUpstream, retry_after });
+            }
+        }
+        shared.update_unsuitable_upstreams(&mut job, &excluded);
         let broker = shared.select_broker(job.service, &unavailable_brokers);
         match request_slot(shared, broker, &job).await {
             SlotRequestResult::Granted(request_id, upstream, max_age) => {
                 match shared.accept_slot(broker, request_id, upstream, max_age) {
                     Some(slot) => return Ok(slot),
-                    None => job.excluded.push(upstream),
+                    None => excluded.push(upstream),
                 }
             }
             SlotRequestResult::Rejected(rejection) => return Err(rejection),
@@ -203,9 +216,27 @@
         self.peer_health.borrow_mut().record_timeout(broker, now);
     }
 
+    /// Decides what a request does if all upstreams that it may use have asked for a pause.
+    fn check_pauses(&self, job: &Job, excluded: &[UpstreamId]) -> PauseDecision {
+        let now = self.clock.now();
+        let notices = self.upstream_notices.borrow();
+        if notices.paused(now).next().is_none() {
+            return PauseDecision::RequestSlot;
+        }
+        let upstreams = self.upstreams.borrow();
+        let is_usable = |(id, upstream): &(&UpstreamId, &Upstream)| {
+            !upstream.draining
+                && !excluded.contains(id)
+                && ServiceId::of(&upstream.service) == job.service
+        };
+        let usable = upstreams.iter().filter(is_usable).map(|(id, _)| *id);
+        notices.decide(usable, job.queue_deadline, now)
+    }
+
     /// Marks upstreams that this gateway can hardly reach as suspect, and excludes those that are
-    /// draining or have asked for a pause.
-    fn update_unsuitable_upstreams(&self, job: &mut Job) {
+    /// draining or have asked for a pause, beside those in `excluded`.
+    fn update_unsuitable_upstreams(&self, job: &mut Job, excluded: &[UpstreamId]) {
+        job.excluded = excluded.to_vec();
         job.suspect = self.reachability.borrow().suspects(self.clock.now());
         let upstreams = self.upstreams.borrow();
         let draining = upstreams.iter().filter(|(_, upstream)| upstream.draining);
--- a/components/gateway/src/upstream_notices.rs
+++ b/components/gateway/src/upstream_notices.rs
@@ -4,7 +4,8 @@
 //! Load pattern: upstreams that are taken away under load. Their announcements in the store tell it
 //! up to a read of the store later, while every response tells it at once, to the gateway that got
 //! it; that gateway tells the others. A full upstream that names a time is not asked again before,
-//! however many requests wait.
+//! however many requests wait. If all upstreams of a service do so, its requests wait until the
+//! first one may be asked again, or are rejected at once.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -24,6 +25,17 @@
 /// Maximum number of leaving upstreams in a digest.
 const MAX_NEWS: usize = 64;
 
+/// What a request does while the upstreams that it may use want nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseDecision {
+    /// Request a slot.
+    RequestSlot,
+    /// Wait for this time until the first of them may be asked.
+    Wait(Duration),
+    /// Give up, since none may be asked in time; the first one may be asked after this time.
+    Reject(Duration),
+}
+
 /// A leaving upstream.
 #[derive(Debug, Clone, Copy)]
 struct Leaving {
@@ -97,6 +109,32 @@
         self.paused_until.get(&upstream).is_some_and(|until| now < *until)
     }
 
+    /// Decides for a request that may use these upstreams and wait until `deadline`.
+    pub fn decide(
+        &self,
+        usable: impl IntoIterator<Item = UpstreamId>,
+        deadline: Instant,
+        now: Instant,
+    ) -> PauseDecision {
+        let mut first_resumes_at: Option<Instant> = None;
+        for upstream in usable {
+            match self.paused_until.get(&upstream) {
+                Some(until) if now < *until => {
+                    first_resumes_at =
+                        Some(first_resumes_at.map_or(*until, |first| first.min(*until)));
+                }
+                _ => return PauseDecision::RequestSlot,
+            }
+        }
+        let Some(resumes_at) = first_resumes_at else { return PauseDecision::RequestSlot };
+        let pause = resumes_at.saturating_duration_since(now);
+        if resumes_at < deadline {
+            PauseDecision::Wait(pause)
+        } else {
+            PauseDecision::Reject(pause)
+        }
+    }
+
     /// Upstreams that want no request of this gateway now.
     pub fn paused(&self, now: Instant) -> impl Iterator<Item = UpstreamId> + '_ {
         let is_paused = move |(_, until): &(&UpstreamId, &Instant)| now < **until;
--- a/components/gateway/tests/upstream_notices.rs
+++ b/components/gateway/tests/upstream_notices.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gateway::model::UpstreamId;
-use gateway::upstream_notices::{MAX_PAUSE, UpstreamNotices};
+use gateway::upstream_notices::{MAX_PAUSE, PauseDecision, UpstreamNotices};
 
 const LEAVING: UpstreamId = UpstreamId(7);
 
@@ -47,3 +47,21 @@
     notices.record_pause(LEAVING, Duration::from_secs(u64::MAX / 4), now);
     assert!(!notices.is_paused(LEAVING, now + MAX_PAUSE));
 }
+
+#[test]
+fn requests_ask_paused_upstreams_or_wait_although_one_may_be_asked() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let upstreams = [LEAVING, UpstreamId(8)];
+    let mut notices = UpstreamNotices::default();
+    let decide =
+        |notices: &UpstreamNotices| notices.decide(upstreams, now + ms(800), now + ms(100));
+    assert_eq!(decide(&notices), PauseDecision::RequestSlot);
+    notices.record_pause(LEAVING, ms(3_000), now);
+    assert_eq!(decide(&notices), PauseDecision::RequestSlot, "the other one may be asked");
+    notices.record_pause(UpstreamId(8), ms(2_000), now);
+    assert_eq!(decide(&notices), PauseDecision::Reject(ms(1_900)));
+    let until_later = notices.decide(upstreams, now + ms(2_500), now + ms(100));
+    assert_eq!(until_later, PauseDecision::Wait(ms(1_900)));
+    assert_eq!(notices.decide([], now, now), PauseDecision::RequestSlot, "none is known");
+}
