Apply limits at once to upstreams that are listed again

An upstream that was missing from the store's list for a moment came back without its limit until the next tick, up to 100 ms later. Found by reading; the limit is applied with the list now. Not reproduced.

--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -202,6 +202,7 @@
         let now = self.clock.now();
         self.set_usable_upstreams(&usable);
         let replies = self.broker.borrow_mut().set_upstreams(&usable, now);
+        self.apply_limits(now);
         self.send_replies(replies);
     }
 
