--- a/components/gateway/tests/crash_quarantine.rs
+++ b/components/gateway/tests/crash_quarantine.rs
@@ -367,11 +367,11 @@
     fn finish_runs(&mut self, at_ms: u64) {
         let now = self.start + ms(at_ms);
         for number in 0..self.upstreams.len() {
-            let ended = |run: &Running| run.ends_at_ms <= at_ms;
+            let running = &mut self.upstreams[number].running;
             let done: Vec<Running> =
-                self.upstreams[number].running.extract_if(.., |run| ended(run)).collect();
+                running.extract_if(.., |run| run.ends_at_ms <= at_ms).collect();
             if done.iter().any(|run| CRASHING_REQUESTS.contains(&run.request)) {
-                self.upstreams[number].running.extend(done);
+                running.extend(done);
                 self.end_upstream(number, at_ms);
                 continue;
             }
