--- a/components/gateway/src/crash_quarantine.rs
+++ b/components/gateway/src/crash_quarantine/mod.rs
@@ -14,41 +14,27 @@
 //! upstream answers it, the quarantine ends everywhere. It also ends after a time without such
 //! requests.
 
+mod cause;
+mod news;
+
 use std::collections::{HashMap, VecDeque};
-use std::fmt;
 use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
 use lru::LruCache;
-use serde::{Deserialize, Serialize};
 
 use crate::model::{RequestHash, UpstreamId};
 
-/// Id of a prompt part.
-pub type PartId = u64;
+pub use cause::{Cause, PartId};
+pub use news::{BrokenAttempt, QuarantineNews, QuarantinedCause};
 
 /// Number of upstreams at which attempts with a cause must have broken: one more than two unrelated
 /// failures that meet by chance.
 const MIN_BROKEN_UPSTREAMS: usize = 3;
 
-/// Shortest time between the first and the last of those for a prompt part. Engines that end at the
-/// same moment have a cause in common, which is not the part.
-const MIN_PART_EVIDENCE_SPAN: Duration = Duration::from_millis(300);
-
-/// The same for a request, which seldom runs at several upstreams at once: the time of two retries.
-const MIN_REQUEST_EVIDENCE_SPAN: Duration = Duration::from_millis(50);
-
 /// Time for which evidence counts, so that a cause that is seldom sent can still be found.
 const EVIDENCE_VALIDITY: Duration = Duration::from_secs(60);
 
-/// Time for which an answer under a prompt part speaks against later evidence. When many engines end
-/// for another reason, several attempts with a common part may break before an engine answers the
-/// next one.
-const SOUND_PART_VALIDITY: Duration = Duration::from_secs(10);
-
-/// The same for a request, of which fewer run at a time.
-const SOUND_REQUEST_VALIDITY: Duration = Duration::from_secs(5);
-
 /// Time for which news are repeated in digests; covers the loss of two digests to other zones.
 const NEWS_VALIDITY: Duration = Duration::from_secs(3);
 
@@ -80,105 +66,6 @@
 /// Maximum number of entries of each kind in a digest, for parts and for requests.
 const MAX_NEWS: usize = 32;
 
-/// Something in requests under which upstreams may end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Cause {
-    /// A part of their prompts.
-    PromptPart(PartId),
-    /// All that a request asks for.
-    Request(RequestHash),
-}
-
-impl From<PartId> for Cause {
-    fn from(part: PartId) -> Cause {
-        Cause::PromptPart(part)
-    }
-}
-
-impl From<RequestHash> for Cause {
-    fn from(request: RequestHash) -> Cause {
-        Cause::Request(request)
-    }
-}
-
-impl fmt::Display for Cause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Cause::PromptPart(part) => write!(f, "part:{part:x}"),
-            Cause::Request(request) => write!(f, "request:{request}"),
-        }
-    }
-}
-
-impl Cause {
-    fn min_evidence_span(self) -> Duration {
-        match self {
-            Cause::PromptPart(_) => MIN_PART_EVIDENCE_SPAN,
-            Cause::Request(_) => MIN_REQUEST_EVIDENCE_SPAN,
-        }
-    }
-
-    fn sound_validity(self) -> Duration {
-        match self {
-            Cause::PromptPart(_) => SOUND_PART_VALIDITY,
-            Cause::Request(_) => SOUND_REQUEST_VALIDITY,
-        }
-    }
-
-    fn part(self) -> Option<PartId> {
-        match self {
-            Cause::PromptPart(part) => Some(part),
-            Cause::Request(_) => None,
-        }
-    }
-
-    fn request(self) -> Option<RequestHash> {
-        match self {
-            Cause::PromptPart(_) => None,
-            Cause::Request(request) => Some(request),
-        }
-    }
-}
-
-/// An attempt that broke before its response began.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BrokenAttempt<C> {
-    /// What it may have broken under.
-    pub cause: C,
-    /// Upstream at which it broke.
-    pub upstream: UpstreamId,
-    /// Milliseconds since then.
-    pub ms_ago: u32,
-}
-
-/// A cause whose requests are refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantinedCause<C> {
-    /// The cause.
-    pub cause: C,
-    /// Number of tests so far.
-    pub tests: u32,
-    /// Milliseconds until the next test.
-    pub next_test_ms: u32,
-}
-
-/// What a gateway tells the others about causes of one kind.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineNews<C> {
-    /// Evidence that this gateway has collected itself.
-    pub broken: Vec<BrokenAttempt<C>>,
-    /// Causes with evidence against them that are sound.
-    pub sound: Vec<C>,
-    /// Causes whose requests this gateway refuses.
-    pub quarantined: Vec<QuarantinedCause<C>>,
-}
-
-impl<C> Default for QuarantineNews<C> {
-    fn default() -> QuarantineNews<C> {
-        QuarantineNews { broken: Vec::new(), sound: Vec::new(), quarantined: Vec::new() }
-    }
-}
-
 /// Effect of another gateway's news.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineChanges {
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod directory;
 mod dispatch;
+mod elections;
 mod internal_server;
 mod log_fields;
 mod metrics;
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -11,9 +11,8 @@
 use super::peer_socket::RETRANSMIT_INTERVAL;
 use super::slot_guard::SlotGuard;
 use super::state::{AwaitedReply, Shared, SharedRef};
-use crate::broker::{ElectionKey, Message, SlotReply, SlotRequestId, WireJob, rank_candidates};
+use crate::broker::{Message, SlotReply, SlotRequestId, WireJob};
 use crate::model::{PeerId, ServiceId, Upstream, UpstreamId};
-use crate::peers::Candidate;
 use crate::scheduler::{AttemptOutcome, Job, Observation, Rejection, RejectionReason};
 use crate::upstream_notices::PauseDecision;
 
@@ -169,47 +168,6 @@
         ranked.iter().find(usable).copied().unwrap_or(self.process_id)
     }
 
-    /// Candidates in election order for a service, its broker first.
-    pub(super) fn ranked_brokers(&self, service: ServiceId) -> Rc<[PeerId]> {
-        self.ranked_gateways(ElectionKey::Service(service))
-    }
-
-    /// Candidates in election order; the first one has the role of the election key.
-    pub(super) fn ranked_gateways(&self, election_key: ElectionKey) -> Rc<[PeerId]> {
-        let mut ranked = self.ranked_gateways.borrow_mut();
-        let rank = || {
-            let mut candidates = self.peers.borrow().candidates(self.clock.now());
-            if !self.is_leaving() || candidates.is_empty() {
-                let cores = self.settings.borrow().cores;
-                candidates.push(Candidate { id: self.process_id, cores });
-            }
-            rank_candidates(election_key, &candidates).into()
-        };
-        ranked.entry(election_key).or_insert_with(rank).clone()
-    }
-
-    /// Updates the candidates for elected roles. If they have changed, clears the cached election
-    /// orders, and hands over the buckets that another gateway owns now.
-    pub(super) fn update_candidates(&self) {
-        let now = self.clock.now();
-        let mut ids: Vec<PeerId> =
-            self.peers.borrow().candidates(now).iter().map(|candidate| candidate.id).collect();
-        if !self.is_leaving() {
-            ids.push(self.process_id);
-        }
-        ids.sort_unstable();
-        if *self.candidate_ids.borrow() == ids {
-            return;
-        }
-        self.candidate_ids.replace(ids);
-        self.ranked_gateways.borrow_mut().clear();
-        let handed_over = self
-            .bucket_owner
-            .borrow_mut()
-            .update_members(|customer| self.bucket_role(customer), now);
-        self.send_bucket_levels(handed_over, true);
-    }
-
     fn record_unavailable_broker(&self, broker: PeerId, reason: &str, now: Instant) {
         self.metrics.count_slot_reply("passed_over");
         info!("broker.passed_over broker={broker} reason={reason:?}");
--- a/components/gateway/src/scheduler/pace.rs
+++ b/components/gateway/src/scheduler/pace.rs
@@ -1,4 +1,7 @@
 //! Pace at which an upstream with a limit is assigned requests.
+//!
+//! Load pattern: bursts that are longer than the pause between two turns of a slow upstream, before
+//! a broker that takes over and does not know what its predecessor assigned.
 
 use std::time::{Duration, Instant};
 
