Log the software versions of streams and what callers resume

The logs of the incident name instances only, so that they do not tell whether a stream that went on at another version was resumed within its answer or taken up by its caller. Announcements are now read with their version, and stream.resume and stream.end name it; stream.end also names the attempt and the event that the caller resumes. An entry without a version names no upstream, as the platform's documentation has it. No decision uses either.

--- a/components/gateway/benches/slots.rs
+++ b/components/gateway/benches/slots.rs
@@ -50,6 +50,7 @@
         service: "models".to_owned(),
         address: ([127, 0, 0, 1], 9_000).into(),
         zone: "a".to_owned(),
+        version: "v1".into(),
         slots: SLOTS,
         draining: false,
     }
--- a/components/gateway/src/model/request.rs
+++ b/components/gateway/src/model/request.rs
@@ -21,6 +21,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Id of the event after which the stream should resume.
     pub resume_after: Option<u64>,
+    /// Attempt of the caller that brought the first event of the stream that should resume.
+    pub resumes: Option<String>,
 }
 
 impl RequestMetadata {
--- a/components/gateway/src/model/upstream.rs
+++ b/components/gateway/src/model/upstream.rs
@@ -43,6 +43,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// Version of its software, as its operators name it.
+    pub version: Rc<str>,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it is shutting down and accepts no new requests.
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -242,10 +242,13 @@
             |at: Instant| at.saturating_duration_since(self.admitted.arrived).as_millis();
         let in_time = self.meets_objectives();
         info!(
-            "stream.end id={} route={} instance={} broker={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} attempts={} assigned_ms={} first_ms={} end_ms={} events={} longest_pause_ms={}",
+            "stream.end id={} route={} instance={} version={} resumes={} resume_after={} broker={} outcome={outcome} in_time={in_time} tier={} route_tier={} prompt_tokens={} output_limit={} output_estimate={} attempts={} assigned_ms={} first_ms={} end_ms={} events={} longest_pause_ms={}",
             self.admitted.metadata.attempt_id,
             self.admitted.route.name,
             self.slot.upstream().instance,
+            self.slot.upstream().version,
+            or_none(self.admitted.metadata.resumes.as_deref()),
+            or_none(self.admitted.metadata.resume_after),
             self.slot.broker(),
             self.admitted.priority.tier,
             self.admitted.priority.route_tier,
@@ -287,9 +290,10 @@
             self.slot = slot;
             let result = self.shared.send_request(&admitted, &mut self.slot, self.last_id).await;
             info!(
-                "stream.resume id={} instance={} after={}",
+                "stream.resume id={} instance={} version={} after={}",
                 admitted.metadata.attempt_id,
                 self.slot.upstream().instance,
+                self.slot.upstream().version,
                 or_none(self.last_id)
             );
             match result {
--- a/components/gateway/src/upstream_table.rs
+++ b/components/gateway/src/upstream_table.rs
@@ -22,9 +22,11 @@
 }
 
 fn fingerprint_of(upstream: &Upstream) -> u64 {
-    let Upstream { instance, started_unix_ms, service, address, zone, slots, draining } = upstream;
-    let text =
-        format!("{instance} {started_unix_ms} {service} {address} {zone} {slots} {draining}");
+    let Upstream { instance, started_unix_ms, service, address, zone, version, slots, draining } =
+        upstream;
+    let text = format!(
+        "{instance} {started_unix_ms} {service} {address} {zone} {version} {slots} {draining}"
+    );
     xxh3_64(text.as_bytes())
 }
 
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -23,6 +23,7 @@
         service: "models".to_owned(),
         address: ([127, 0, 0, number], 9000).into(),
         zone: "a".to_owned(),
+        version: "v1".into(),
         slots: SLOTS,
         draining: false,
     }
--- a/components/gateway/tests/scheduler.rs
+++ b/components/gateway/tests/scheduler.rs
@@ -25,6 +25,7 @@
         service: "models".to_owned(),
         address: ([127, 0, 0, 1], 9000).into(),
         zone: zone.to_owned(),
+        version: "v1".into(),
         slots: SLOTS,
         draining: false,
     }
--- a/components/gateway/tests/upstream_limits.rs
+++ b/components/gateway/tests/upstream_limits.rs
@@ -141,6 +141,7 @@
         service: service.to_owned(),
         address: ([127, 0, 0, number], 9000).into(),
         zone: "a".to_owned(),
+        version: "v1".into(),
         slots: 4,
         draining: false,
     }
--- a/components/gateway/tests/upstream_table.rs
+++ b/components/gateway/tests/upstream_table.rs
@@ -12,6 +12,7 @@
         service: "models".to_owned(),
         address: ([127, 0, 0, 1], 9000).into(),
         zone: "a".to_owned(),
+        version: "v1".into(),
         slots: 4,
         draining: false,
     }
--- a/components/gateway/tests/worst_load.rs
+++ b/components/gateway/tests/worst_load.rs
@@ -28,6 +28,7 @@
         service: "service".to_owned(),
         address: ([127, 0, 0, 1], 9_000).into(),
         zone: "a".to_owned(),
+        version: "v1".into(),
         slots,
         draining: false,
     };
