Resume a broken stream only at upstreams of its software version

Callers got answers of which the first part was written at one version of an engine and the rest at another. Cause: a relay that resumes a broken stream asked the broker for any upstream but the broken ones; no decision knew versions. A stream now keeps the version that began it, and the slot request names it: the broker assigns only upstreams of that version, the gateway gives back a slot of another one, and streams that wait for their version don't count among the requests of their route that a decision looks at, so that they hold up nobody. The version follows the slot request as an extension, which gateways of the version before skip.

--- a/components/gateway/benches/slots.rs
+++ b/components/gateway/benches/slots.rs
@@ -38,6 +38,7 @@
         pause_objective: Some(Duration::from_millis(400)),
         queue_deadline: now + Duration::from_secs(3_600),
         deadline: now + Duration::from_secs(3_600),
+        version: None,
         excluded: Vec::new(),
         suspect: Vec::new(),
     }
--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::allowance::{BucketLevel, CreditReply, CreditRequest};
-use crate::model::{PeerId, ServiceId, UpstreamId};
+use crate::model::{PeerId, ServiceId, UpstreamId, VersionId};
 use crate::peers::Digest;
 use crate::scheduler::{Job, Observation, Priority, Rejection, RouteId};
 use crate::shared_read::SharedRead;
@@ -56,6 +56,17 @@
     pub excluded: Vec<UpstreamId>,
     /// Upstreams that the requesting gateway can hardly reach.
     pub suspect: Vec<UpstreamId>,
+    /// What later versions of the job have in addition.
+    #[serde(skip)]
+    pub extension: JobExtension,
+}
+
+/// Fields that follow a slot request in its datagram. An earlier version reads the request without
+/// them and may assign a slot that does not fit; the requesting gateway gives that one back.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobExtension {
+    /// Software version that the upstream must have.
+    pub version: Option<VersionId>,
 }
 
 fn to_ms(duration: Duration) -> u32 {
@@ -87,6 +98,7 @@
             time_left_ms: left(job.deadline),
             excluded: job.excluded.clone(),
             suspect: job.suspect.clone(),
+            extension: JobExtension { version: job.version },
         }
     }
 
@@ -108,6 +120,7 @@
             pause_objective: self.pause_objective_ms.map(from_ms),
             queue_deadline: now + from_ms(self.wait_left_ms),
             deadline: now + from_ms(self.time_left_ms),
+            version: self.extension.version,
             excluded: self.excluded.clone(),
             suspect: self.suspect.clone(),
         }
@@ -256,6 +269,7 @@
         let bytes = postcard::to_extend(self, vec![FORMAT])?;
         match self {
             Message::Digest(digest) => Ok(postcard::to_extend(&digest.extension, bytes)?),
+            Message::SlotRequest { job, .. } => Ok(postcard::to_extend(&job.extension, bytes)?),
             _ => Ok(bytes),
         }
     }
@@ -266,10 +280,12 @@
             return Err(MessageError("the datagram is of another format".to_owned()));
         };
         let (mut message, rest) = postcard::take_from_bytes(message)?;
-        if let Message::Digest(digest) = &mut message
-            && !rest.is_empty()
-        {
-            digest.extension = postcard::from_bytes(rest)?;
+        if !rest.is_empty() {
+            match &mut message {
+                Message::Digest(digest) => digest.extension = postcard::from_bytes(rest)?,
+                Message::SlotRequest { job, .. } => job.extension = postcard::from_bytes(rest)?,
+                _ => {}
+            }
         }
         Ok(message)
     }
--- a/components/gateway/src/model/mod.rs
+++ b/components/gateway/src/model/mod.rs
@@ -17,4 +17,4 @@
 pub use request::{PromptPart, RequestMetadata, ResponseMetadata, StatedLimit};
 pub use request_hash::{RequestContent, RequestHash};
 pub(crate) use upstream::Distance;
-pub use upstream::{InstanceId, ServiceId, Topology, Upstream, UpstreamId};
+pub use upstream::{InstanceId, ServiceId, Topology, Upstream, UpstreamId, VersionId};
--- a/components/gateway/src/model/upstream.rs
+++ b/components/gateway/src/model/upstream.rs
@@ -30,6 +30,17 @@
     }
 }
 
+/// Four-byte hash, used between gateways, that identifies a software version of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct VersionId(pub u32);
+
+impl VersionId {
+    /// Computes the id of a version of a service.
+    pub fn of(service: &str, version: &str) -> VersionId {
+        VersionId(xxh3_64(format!("{service}/{version}").as_bytes()) as u32)
+    }
+}
+
 /// An upstream instance, as it announces itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Upstream {
@@ -58,6 +69,11 @@
         let name = format!("{instance}/{started_unix_ms}/{address}");
         UpstreamId(xxh3_64(name.as_bytes()) as u32)
     }
+
+    /// Computes the id of its software version.
+    pub fn version_id(&self) -> VersionId {
+        VersionId::of(&self.service, &self.version)
+    }
 }
 
 /// Regions of the availability zones, and the zone of this process.
--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -101,6 +101,7 @@
             pause_objective: self.route.pause_objective,
             queue_deadline: self.deadline,
             deadline: self.deadline,
+            version: None,
             excluded: Vec::new(),
             suspect: Vec::new(),
         }
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -1,5 +1,8 @@
 //! Relays an event stream from an upstream to the caller, and resumes it at another upstream where
 //! the route allows that.
+//!
+//! Load pattern: upstreams of several software versions in one service, of which many break off at
+//! once. What two versions write does not fit together, so a stream goes on at its own version.
 
 use std::fmt;
 use std::rc::Rc;
@@ -21,6 +24,7 @@
 use super::slots;
 use super::state::SharedRef;
 use crate::events::{EventSplitter, count_events, last_event_id};
+use crate::model::VersionId;
 use crate::retry::AttemptResult;
 use crate::scheduler::{AttemptOutcome, Job, Priority};
 
@@ -37,6 +41,8 @@
     admitted: Rc<AdmittedRequest>,
     slot: SlotGuard,
     upstream_response: Option<StartedResponse>,
+    /// Software version that began the stream.
+    version: VersionId,
     splitter: EventSplitter,
     last_id: Option<u64>,
     first_events: Option<Bytes>,
@@ -97,6 +103,7 @@
     ) -> RelayStart {
         let mut relay = Box::new(Relay {
             last_id: admitted.metadata.resume_after,
+            version: slot.upstream().version_id(),
             shared,
             admitted,
             slot,
@@ -272,7 +279,7 @@
             && route.pause_objective.is_none_or(|longest| self.longest_pause <= longest)
     }
 
-    /// Resumes the stream at another upstream after the last complete event; returns whether that
+    /// Resumes the stream at another upstream of its version after the last complete event; returns whether that
     /// succeeded.
     async fn resume(&mut self) -> bool {
         self.splitter.reset();
@@ -320,6 +327,7 @@
             is_last_attempt: true,
             objective_at: now + RESUME_WAIT_LIMIT,
             queue_deadline: now + RESUME_WAIT_LIMIT,
+            version: Some(self.version),
             excluded: self.attempts.excluded.clone(),
             ..self.admitted.to_job()
         }
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -82,7 +82,7 @@
         let broker = shared.select_broker(job.service, &unavailable_brokers);
         match request_slot(shared, broker, &job).await {
             SlotRequestResult::Granted(request_id, upstream, max_age) => {
-                match shared.accept_slot(broker, request_id, upstream, max_age) {
+                match shared.accept_slot(broker, request_id, &job, upstream, max_age) {
                     Some(slot) => return Ok(slot),
                     None => excluded.push(upstream),
                 }
@@ -185,6 +185,7 @@
         let is_usable = |(id, upstream): &(&UpstreamId, &Upstream)| {
             !upstream.draining
                 && !excluded.contains(id)
+                && has_version(job, upstream)
                 && ServiceId::of(&upstream.service) == job.service
         };
         let usable = upstreams.iter().filter(is_usable).map(|(id, _)| *id);
@@ -208,18 +209,22 @@
     }
 
     /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is
-    /// gone, draining or has asked for a pause, or has a limit and the grant is old.
+    /// gone, draining, of another version or has asked for a pause, or has a limit and the grant is
+    /// old.
     fn accept_slot(
         self: &Rc<Self>,
         broker: PeerId,
         request_id: SlotRequestId,
+        job: &Job,
         upstream: UpstreamId,
         max_age: Duration,
     ) -> Option<SlotGuard> {
         let known = self.upstreams.borrow().get(&upstream).cloned();
         let is_paused = self.upstream_notices.borrow().is_paused(upstream, self.clock.now());
         let is_valid = self.upstream_limits.borrow().may_use_grant(upstream, max_age);
-        let may_use = |upstream: &Upstream| !upstream.draining && !is_paused && is_valid;
+        let may_use = |upstream: &Upstream| {
+            !upstream.draining && !is_paused && is_valid && has_version(job, upstream)
+        };
         let Some(usable) = known.filter(may_use) else {
             info!("slot.unusable broker={broker} upstream={}", upstream.0);
             self.send_release(
@@ -352,6 +357,11 @@
     }
 }
 
+/// Whether an upstream has the software version that a request needs.
+fn has_version(job: &Job, upstream: &Upstream) -> bool {
+    job.version.is_none_or(|version| version == upstream.version_id())
+}
+
 /// The result code for a rejection.
 pub(super) fn result_code(reason: RejectionReason) -> ResultCode {
     match reason {
--- a/components/gateway/src/scheduler/job.rs
+++ b/components/gateway/src/scheduler/job.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{InstanceId, ServiceId, UpstreamId};
+use crate::model::{InstanceId, ServiceId, UpstreamId, VersionId};
 
 /// Priority of a request; the lowest value is the most important. The customer's tier takes
 /// precedence; the route's tier ranks requests of customers with the same tier.
@@ -55,6 +55,8 @@
     pub queue_deadline: Instant,
     /// Time until which the response must be complete.
     pub deadline: Instant,
+    /// Software version that the upstream must have; `None` for any.
+    pub version: Option<VersionId>,
     /// Upstreams that must not get the request.
     pub excluded: Vec<UpstreamId>,
     /// Upstreams that the gateway has trouble reaching; used only if there are no others.
--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -91,7 +91,7 @@
             let id = upstream.id();
             self.by_service.entry(ServiceId::of(&upstream.service)).or_default().push(id);
             match self.upstreams.get_mut(&id) {
-                Some(state) => state.upstream = upstream.clone(),
+                Some(state) => state.update(upstream),
                 None => {
                     self.upstreams.insert(id, UpstreamState::new(upstream.clone(), now));
                 }
@@ -248,7 +248,9 @@
                     Selection::Upstream(upstream) => {
                         wakeups.extend(self.assign_waiter(waiter, upstream, now))
                     }
-                    Selection::AllFull if job.excluded.is_empty() => return,
+                    Selection::AllFull if job.excluded.is_empty() && job.version.is_none() => {
+                        return;
+                    }
                     Selection::AllFull | Selection::NoneSuitable => {}
                 }
             }
--- a/components/gateway/src/scheduler/placement.rs
+++ b/components/gateway/src/scheduler/placement.rs
@@ -135,7 +135,9 @@
 
     /// Whether a request may be sent to an upstream.
     pub(super) fn may_use(&self, state: &UpstreamState, job: &Job, now: Instant) -> bool {
-        state.is_usable(now) && !job.excluded.contains(&state.id)
+        state.is_usable(now)
+            && job.version.is_none_or(|version| version == state.version)
+            && !job.excluded.contains(&state.id)
     }
 
     fn candidates<'a>(
--- a/components/gateway/src/scheduler/queue.rs
+++ b/components/gateway/src/scheduler/queue.rs
@@ -13,7 +13,7 @@
 use super::placement::Suitability;
 use super::value::{FairnessClass, FairnessGroup, ValueModel};
 use super::{Job, Priority, RouteId, WaiterId};
-use crate::model::ServiceId;
+use crate::model::{ServiceId, VersionId};
 
 /// Time constant of the moving average of the placement rate, from which waits are estimated.
 const RATE_TIME_CONSTANT: Duration = Duration::from_millis(1_000);
@@ -37,9 +37,9 @@
 /// this many requests, so that computing it takes the same share of the time.
 const WAITING_PER_ORDER_AGE: u32 = 100;
 
-/// Number of waiting requests of each route that a decision looks at, from the head of the order.
-/// Requests of one route are alike, so an upstream that suits none of the first ones hardly suits
-/// the next.
+/// Number of waiting requests of each route and version that a decision looks at, from the head of
+/// the order. Requests of one route are alike, so an upstream that suits none of the first ones
+/// hardly suits the next.
 const CONSIDERED_PER_ROUTE: usize = 8;
 
 #[derive(Debug, Default)]
@@ -79,21 +79,24 @@
 struct OrderedWaiter {
     key: OrderKey,
     route: RouteId,
+    /// Software version that the request needs.
+    version: Option<VersionId>,
     id: WaiterId,
 }
 
-/// The first `CONSIDERED_PER_ROUTE` requests of each route, in their order.
+/// The first `CONSIDERED_PER_ROUTE` requests of each route and version, in their order.
 fn head_of_each_route(
     order: &[OrderedWaiter],
     waiting: &HashMap<WaiterId, Waiter>,
 ) -> Vec<WaiterId> {
-    let mut considered: Vec<(RouteId, usize)> = Vec::new();
+    let mut considered: Vec<((RouteId, Option<VersionId>), usize)> = Vec::new();
     let mut head = Vec::new();
-    for OrderedWaiter { route, id, .. } in order {
-        let position = match considered.iter().position(|(other, _)| other == route) {
+    for OrderedWaiter { route, version, id, .. } in order {
+        let group = (*route, *version);
+        let position = match considered.iter().position(|(other, _)| *other == group) {
             Some(position) => position,
             None => {
-                considered.push((*route, 0));
+                considered.push((group, 0));
                 considered.len() - 1
             }
         };
@@ -141,7 +144,8 @@
         let key = self.order_key(&job, value_model, now);
         let order = self.order.get_mut();
         let position = order.waiters.partition_point(|other| other.key.compare(&key).is_le());
-        order.waiters.insert(position, OrderedWaiter { key, route: job.route, id });
+        let (route, version) = (job.route, job.version);
+        order.waiters.insert(position, OrderedWaiter { key, route, version, id });
         self.waiting.insert(id, Waiter { job, best_suitability: Cell::new(None) });
     }
 
@@ -195,7 +199,7 @@
                     .or_insert_with(|| value_model.fairness_class(job, self.priorities.keys()));
                 let value_density = value_model.value_density(job, now);
                 let key = OrderKey { fairness_class, value_density };
-                OrderedWaiter { key, route: job.route, id: *id }
+                OrderedWaiter { key, route: job.route, version: job.version, id: *id }
             };
             order.waiters.clear();
             order.waiters.extend(self.waiting.iter().map(ordered));
--- a/components/gateway/src/scheduler/upstream_state.rs
+++ b/components/gateway/src/scheduler/upstream_state.rs
@@ -10,7 +10,7 @@
 use super::pace::Pace;
 use super::speed::{SpeedEstimate, milliseconds};
 use super::{AttemptOutcome, Job, Observation, SlotId};
-use crate::model::{PeerId, Upstream, UpstreamId};
+use crate::model::{PeerId, Upstream, UpstreamId, VersionId};
 
 /// Pause after an upstream declined a request: one or two steps of its batch.
 const DECLINED_PAUSE: Duration = Duration::from_millis(100);
@@ -74,6 +74,7 @@
 pub(super) struct UpstreamState {
     pub(super) upstream: Upstream,
     pub(super) id: UpstreamId,
+    pub(super) version: VersionId,
     pub(super) speed: SpeedEstimate,
     in_flight: HashMap<SlotId, InFlight>,
     extra_slots: ExtraSlots,
@@ -95,6 +96,7 @@
     pub(super) fn new(upstream: Upstream, now: Instant) -> UpstreamState {
         UpstreamState {
             id: upstream.id(),
+            version: upstream.version_id(),
             upstream,
             speed: SpeedEstimate::default(),
             in_flight: HashMap::new(),
@@ -109,6 +111,12 @@
         }
     }
 
+    /// Replaces what the upstream announces of itself.
+    pub(super) fn update(&mut self, upstream: &Upstream) {
+        self.version = upstream.version_id();
+        self.upstream = upstream.clone();
+    }
+
     /// Number of requests in flight.
     pub(super) fn running(&self) -> u32 {
         self.in_flight.len() as u32
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -54,6 +54,7 @@
         time_left_ms: 12_000,
         excluded: vec![],
         suspect: vec![],
+        extension: JobExtension::default(),
     }
 }
 
--- a/components/gateway/tests/message.rs
+++ b/components/gateway/tests/message.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use gateway::allowance::{BucketLevel, CreditReply, CreditRequest, CustomerId};
-use gateway::broker::{Message, SlotReply, WireJob};
-use gateway::model::{Position, ServiceId, UpstreamId};
+use gateway::broker::{JobExtension, Message, SlotReply, WireJob};
+use gateway::model::{Position, ServiceId, UpstreamId, VersionId};
 use gateway::scheduler::{AttemptOutcome, Observation, Priority, RouteId};
 use gateway::shared_read::{SharedChange, SharedRead};
 
@@ -29,6 +29,7 @@
         time_left_ms: 12_000,
         excluded: vec![UpstreamId(4)],
         suspect: vec![],
+        extension: JobExtension::default(),
     }
 }
 
@@ -38,6 +39,14 @@
     let observation = Observation::outcome_only(AttemptOutcome::Served);
     let messages = [
         Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job() },
+        Message::SlotRequest {
+            from: GATEWAY_A,
+            request_id: 3,
+            job: WireJob {
+                extension: JobExtension { version: Some(VersionId::of("models", "v2")) },
+                ..job()
+            },
+        },
         Message::SlotReply { from: GATEWAY_A, request_id: 3, reply },
         Message::Release { from: GATEWAY_B, request_id: 4, observation },
         Message::HeldSlots { from: GATEWAY_B, slots: vec![(4, UpstreamId(9))], queued: vec![7] },
@@ -103,3 +112,16 @@
     other[0] += 1;
     assert!(Message::decode(&other).is_err());
 }
+
+/// Guards against gateways that get no slots while one of the version before is the broker, or the
+/// other way round.
+#[test]
+fn a_slot_request_of_another_software_version_cannot_be_read() {
+    let request = Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job() };
+    let mut bytes = request.encode().expect("encodes");
+    let extension_bytes = 1;
+    bytes.truncate(bytes.len() - extension_bytes);
+    assert_eq!(Message::decode(&bytes), Ok(request.clone()), "from the version before");
+    bytes.extend([0, 200, 1, 7]);
+    assert_eq!(Message::decode(&bytes), Ok(request), "from a later version");
+}
--- a/components/gateway/tests/upstream_limits.rs
+++ b/components/gateway/tests/upstream_limits.rs
@@ -163,6 +163,7 @@
         pause_objective_ms: None,
         wait_left_ms,
         time_left_ms: 6_000,
+        version: None,
         excluded: vec![],
         suspect: vec![],
     }
--- a/components/gateway/tests/worst_load.rs
+++ b/components/gateway/tests/worst_load.rs
@@ -54,6 +54,7 @@
         pause_objective: Some(Duration::from_millis(400)),
         queue_deadline: now + Duration::from_millis(1_800),
         deadline: now + Duration::from_secs(12),
+        version: None,
         excluded: vec![],
         suspect: vec![],
     }
