Keep the software version that began a stream where all gateways find it

Cause: nothing but the relay knew where a stream had begun, Resumes was read by no line, and hosts keep nothing.

What must last lies in the store. A marker for each service says that all its streams begin at one version, or at several; it is replaced before the first event of a stream at another version reaches its caller. While there are several, each gateway keeps one record under a lease, with its open and recently broken streams, and writes it at most every 200 ms, less often in a large fleet. A stream that is taken up goes on at the version of its record, or of the marker if it is in none; if neither is known, or no upstream of the version is in service, it is refused at once as not run (2011, 2012), so that its caller can begin anew. No record is trusted to be complete: one that is lost costs a resumed stream and joins nothing. A marker of an earlier era of the store says nothing, and gateways write their records again after a restore. The service of a route with several targets follows from the stream, so that a take-up reaches the same one.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! Gateway in front of upstreams that are reached without an agent in between.
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
-//! `crash_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`, `reachability`,
+//! `crash_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`,
+//! `stream_versions`, `reachability`,
 //! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`,
 //! `key_confirmation`) do no I/O: they take facts and the current time and return decisions.
 //! `runtime` carries the decisions out on one thread. A platform adapter implements `HeaderCodec`
@@ -28,6 +29,7 @@
 pub mod shared_read;
 pub mod store_copy;
 pub mod store_lag;
+pub mod stream_versions;
 pub mod upstream_limits;
 pub mod upstream_notices;
 pub mod upstream_table;
--- a/components/gateway/src/model/upstream.rs
+++ b/components/gateway/src/model/upstream.rs
@@ -25,9 +25,15 @@
         ServiceId(xxh3_64(name.as_bytes()) as u32)
     }
 
-    pub(crate) fn number(self) -> u32 {
+    /// The id as a number, for keys of the store.
+    pub fn number(self) -> u32 {
         self.0
     }
+
+    /// The id with a number.
+    pub fn from_number(number: u32) -> ServiceId {
+        ServiceId(number)
+    }
 }
 
 /// Four-byte hash, used between gateways, that identifies a software version of a service.
--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -14,10 +14,13 @@
 use super::allowance::AllowanceDecision;
 use super::caller_request::IncomingRequest;
 use super::state::Shared;
+use super::stream_versions::StreamTarget;
 use crate::allowance::{CustomerId, request_cost};
-use crate::model::{Customer, RequestContent, RequestHash, RequestMetadata, Route, ServiceId};
-use crate::routes::pick_target;
+use crate::model::{
+    Customer, RequestContent, RequestHash, RequestMetadata, Route, ServiceId, VersionId,
+};
 use crate::scheduler::{Job, Priority, RouteId};
+use crate::stream_versions::StreamId;
 
 /// Retry delay given by a process without a configuration, or with one that the store has not
 /// confirmed recently: the store is read about once a second.
@@ -67,6 +70,10 @@
     pub(super) metadata: RequestMetadata,
     pub(super) route: Rc<Route>,
     pub(super) service: String,
+    /// The stream, if it may be resumed.
+    pub(super) stream: Option<StreamId>,
+    /// Software version at which a stream that its caller takes up has to go on.
+    pub(super) version: Option<VersionId>,
     /// Availability zone of this gateway.
     zone: Rc<str>,
     /// Output tokens in each event of the service's streams.
@@ -101,7 +108,7 @@
             pause_objective: self.route.pause_objective,
             queue_deadline: self.deadline,
             deadline: self.deadline,
-            version: None,
+            version: self.version,
             excluded: Vec::new(),
             suspect: Vec::new(),
         }
@@ -177,9 +184,9 @@
         };
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = arrived + timeout;
-        let service = pick_target(&route.targets, rand::rng().random())
-            .ok_or_else(|| Refusal::not_run(ResultCode::NoUpstream))?
-            .to_owned();
+        let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
+        let StreamTarget { service, stream, version } =
+            self.choose_target(&route, &metadata, customer_name, arrived, timeout).await?;
         let tokens_per_event = configuration.tokens_per_event.get(&service).copied().unwrap_or(1);
         let max_wait = (route.latency_objective / OWNER_WAIT_DIVISOR).min(timeout);
         let charged_units =
@@ -195,6 +202,8 @@
             metadata,
             route,
             service,
+            stream,
+            version,
             zone: self.own_zone.clone(),
             tokens_per_event,
             customer,
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -7,13 +7,15 @@
 
 use super::Directory;
 use super::state::{ActiveConfiguration, Shared};
+use super::stream_versions::{STREAM_LIFETIME_RANGE, STREAM_LIFETIME_TIMEOUTS};
 use crate::allowance::CustomerId;
 use crate::customers::CustomerKeys;
 use crate::key_confirmation::KeyConfirmation;
-use crate::model::{Configuration, Customer, Position, Upstream};
+use crate::model::{Configuration, Customer, Position, Route, RouteKind, ServiceId, Upstream};
 use crate::peers::{Candidate, Member};
 use crate::routes::RouteTable;
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
+use crate::stream_versions::{Marker, StreamRecordStore};
 use crate::upstream_table::UpstreamTableChange;
 
 /// Time without a confirmation by the store, be it to a peer, after which the store counts as lost.
@@ -48,6 +50,8 @@
             keys: CustomerKeys::new(&configuration.customers),
             requires_keys: !configuration.customers.is_empty(),
             limits: configuration.caller_limits,
+            resumable_services: resumable_services(&configuration.routes),
+            stream_lifetime: stream_lifetime(&configuration.routes),
         };
         *self.active_configuration.borrow_mut() = Some(Rc::new(active_configuration));
         self.metrics.set_configuration_version(version);
@@ -78,6 +82,7 @@
     }
 
     fn upsert_upstream(&self, upstream: Upstream) -> bool {
+        self.check_version_change(&upstream);
         let change = self.upstream_table.borrow_mut().upsert(upstream);
         self.record_upstream_change(change);
         change == UpstreamTableChange::Usable
@@ -122,6 +127,7 @@
     }
 
     fn replace_upstreams(&self, listed: Vec<Upstream>) {
+        listed.iter().for_each(|upstream| self.check_version_change(upstream));
         let change = self.upstream_table.borrow_mut().replace_all(listed, self.clock.now());
         self.record_upstream_change(change);
     }
@@ -141,6 +147,7 @@
     fn mark_store_restored(&self, era: u64) {
         self.upstream_table.borrow_mut().mark_store_restored(self.clock.now());
         self.mark_copy_possible();
+        self.rewrite_stream_records();
         info!("store.restored era={era}");
     }
 
@@ -153,6 +160,28 @@
         self.update_key_confirmation(KeyConfirmation::record_configuration_written);
     }
 
+    fn set_stream_record_store(&self, store: Rc<dyn StreamRecordStore>) {
+        Shared::set_stream_record_store(self, store);
+    }
+
+    fn apply_version_marker(&self, service: ServiceId, marker: Option<Marker>, position: Position) {
+        self.version_markers().borrow_mut().apply(service, marker, position);
+        self.request_stream_records();
+    }
+
+    fn replace_version_markers(
+        &self,
+        listed: Vec<(ServiceId, Marker, Position)>,
+        position: Position,
+    ) {
+        self.version_markers().borrow_mut().replace_all(listed, position);
+        self.request_stream_records();
+    }
+
+    fn mark_stream_records_lost(&self) {
+        self.rewrite_stream_records();
+    }
+
     fn mark_store_lost(&self, reason: &str) {
         self.read_schedule.borrow_mut().set_store_unreachable(true);
         let age = self.freshness.get().age(self.clock.uptime());
@@ -170,6 +199,27 @@
     }
 }
 
+/// Services to which routes send streams that may be resumed.
+fn resumable_services(routes: &[Route]) -> Vec<ServiceId> {
+    let targets = resumable_routes(routes).flat_map(|route| &route.targets);
+    let mut services: Vec<ServiceId> =
+        targets.map(|target| ServiceId::of(&target.service)).collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+}
+
+fn resumable_routes(routes: &[Route]) -> impl Iterator<Item = &Route> {
+    routes.iter().filter(|route| matches!(route.kind, RouteKind::Stream { resumable: true }))
+}
+
+/// Time for which a stream that may be resumed lasts at most, over all attempts of its caller.
+fn stream_lifetime(routes: &[Route]) -> Duration {
+    let longest = resumable_routes(routes).map(|route| route.timeout).max().unwrap_or_default();
+    let (min, max) = STREAM_LIFETIME_RANGE;
+    longest.saturating_mul(STREAM_LIFETIME_TIMEOUTS).clamp(min, max)
+}
+
 impl Shared {
     /// Ends an outage of the store, as seen here or by a peer.
     pub(super) fn end_store_outage(&self) {
@@ -200,6 +250,7 @@
         let draining = usable.iter().filter(|upstream| upstream.draining).count();
         info!("upstreams.changed known={} draining={draining}", usable.len());
         let now = self.clock.now();
+        self.update_announced_versions(&usable);
         self.set_usable_upstreams(&usable);
         let replies = self.broker.borrow_mut().set_upstreams(&usable, now);
         self.apply_limits(now);
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -124,7 +124,7 @@
     attempts: &Attempts,
 ) -> Result<SlotGuard, Refusal> {
     let check = shared.check_quarantine(admitted)?;
-    let rejection = match slots::acquire(shared, attempt_job(admitted, attempts)).await {
+    let rejection = match slots::acquire(shared, attempt_job(shared, admitted, attempts)).await {
         Ok(slot) => {
             // It may have been quarantined while it waited.
             if check != QuarantineCheck::Tests {
@@ -155,17 +155,20 @@
 
 /// Describes the request for the scheduler, with its time in the queue limited and the upstreams of
 /// earlier attempts excluded.
-fn attempt_job(admitted: &AdmittedRequest, attempts: &Attempts) -> Job {
+fn attempt_job(shared: &Shared, admitted: &AdmittedRequest, attempts: &Attempts) -> Job {
     let time_limit = admitted.deadline.saturating_duration_since(admitted.arrived);
     let max_queue_time = if admitted.route.kind.is_stream() {
         admitted.stream_silence_limit().mul_f64(STREAM_QUEUE_SHARE)
     } else {
         MAX_PLAIN_QUEUE_TIME
     };
+    let job = admitted.to_job();
+    let preferred = admitted.stream.and_then(|_| shared.preferred_version(job.service));
     Job {
+        version: job.version.or(preferred),
         queue_deadline: admitted.arrived + max_queue_time.min(time_limit.mul_f64(QUEUE_TIME_SHARE)),
         excluded: attempts.excluded.clone(),
-        ..admitted.to_job()
+        ..job
     }
 }
 
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -22,6 +22,7 @@
 mod slot_guard;
 mod slots;
 mod state;
+mod stream_versions;
 mod upstream_limits;
 mod upstream_notices;
 
@@ -37,9 +38,10 @@
 
 use crate::Settings;
 use crate::header_codec::HeaderCodec;
-use crate::model::{Configuration, Position, Upstream};
+use crate::model::{Configuration, Position, ServiceId, Upstream};
 use crate::peers::Member;
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
+use crate::stream_versions::{Marker, StreamRecordStore};
 use state::Shared;
 
 /// Time before the end of the grace period at which a planned stop ends, so that the process can
@@ -103,6 +105,19 @@
     fn mark_copy_possible(&self);
     /// Records that the operators have written the configuration since the last read of everything.
     fn mark_configuration_written(&self);
+    /// Sets where the versions of streams are kept.
+    fn set_stream_record_store(&self, store: Rc<dyn StreamRecordStore>);
+    /// Applies the marker of a service, or its removal, at a position in the store's history.
+    fn apply_version_marker(&self, service: ServiceId, marker: Option<Marker>, position: Position);
+    /// Replaces the markers by those that the store holds at a position. Each is listed with the
+    /// position at which it was written.
+    fn replace_version_markers(
+        &self,
+        listed: Vec<(ServiceId, Marker, Position)>,
+        position: Position,
+    );
+    /// Records that the store no longer holds the streams of this gateway.
+    fn mark_stream_records_lost(&self);
     /// Records that the store cannot be reached from here. It counts as lost once it has confirmed
     /// nothing to any gateway of the zone for some time.
     fn mark_store_lost(&self, reason: &str);
@@ -162,6 +177,7 @@
         tokio::task::spawn_local(readiness::serve(shared.clone(), readiness));
         tokio::task::spawn_local(internal_server::serve(shared.clone(), internal));
         tokio::task::spawn_local(peer_reads::run(shared.clone()));
+        tokio::task::spawn_local(stream_versions::run(shared.clone()));
         tokio::task::spawn_local(peer_socket::run(shared.clone()));
         tokio::task::spawn_local(tick_periodically(shared));
         Ok(handle)
@@ -176,6 +192,7 @@
     for tick in 1_u32.. {
         tokio::time::sleep(TICK_INTERVAL).await;
         shared.tick();
+        stream_versions::keep_markers(&shared);
         if tick % LOAD_LOG_TICKS == 0 {
             shared.log_load();
         }
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -41,8 +41,6 @@
     admitted: Rc<AdmittedRequest>,
     slot: SlotGuard,
     upstream_response: Option<StartedResponse>,
-    /// Software version that began the stream.
-    version: VersionId,
     splitter: EventSplitter,
     last_id: Option<u64>,
     first_events: Option<Bytes>,
@@ -50,6 +48,7 @@
     event_count: u32,
     first_event_at: Option<Instant>,
     longest_pause: Duration,
+    completed: bool,
 }
 
 /// Result of waiting for the first event of a stream.
@@ -80,6 +79,11 @@
         if self.upstream_response.is_some() {
             self.log_stream_end("caller_left");
         }
+        if let Some(stream) = self.admitted.stream
+            && !self.completed
+        {
+            self.shared.break_off_stream(stream);
+        }
     }
 }
 
@@ -103,7 +107,6 @@
     ) -> RelayStart {
         let mut relay = Box::new(Relay {
             last_id: admitted.metadata.resume_after,
-            version: slot.upstream().version_id(),
             shared,
             admitted,
             slot,
@@ -118,9 +121,13 @@
             event_count: 0,
             first_event_at: None,
             longest_pause: Duration::ZERO,
+            completed: false,
         });
         match relay.read_events().await {
             ReadResult::Events(events) => {
+                if let Some(stream) = relay.admitted.stream {
+                    relay.shared.begin_stream(stream, relay.slot.upstream()).await;
+                }
                 relay.first_events = Some(events);
                 RelayStart::Events(relay)
             }
@@ -237,6 +244,10 @@
             self.shared.keep_connection(&self.slot, response.connection, &response.metadata);
         }
         self.slot.release(AttemptOutcome::Served);
+        self.completed = true;
+        if let Some(stream) = self.admitted.stream {
+            self.shared.complete_stream(stream);
+        }
         if (1..ANSWERED_EVENTS).contains(&self.event_count) {
             self.shared.record_answered(&self.admitted);
         }
@@ -284,14 +295,18 @@
     async fn resume(&mut self) -> bool {
         self.splitter.reset();
         let admitted = self.admitted.clone();
-        let resumable = admitted.route.kind.may_retry();
-        while resumable && self.attempts.upstreams_used < admitted.route.max_upstreams {
+        while self.attempts.upstreams_used < admitted.route.max_upstreams {
             self.attempts.excluded.push(self.slot.upstream().id());
             if !self.shared.may_retry(&admitted, &self.attempts, true) {
                 return false;
             }
             self.attempts.count += 1;
-            let Ok(slot) = slots::acquire(&self.shared, self.resume_job()).await else {
+            // An upstream that has started again at another version may have begun the stream.
+            let stream = admitted.stream;
+            let Some(version) = stream.and_then(|id| self.shared.stream_version(id)) else {
+                return false;
+            };
+            let Ok(slot) = slots::acquire(&self.shared, self.resume_job(version)).await else {
                 return false;
             };
             self.slot = slot;
@@ -319,7 +334,7 @@
 
     /// Describes the resumed stream for the scheduler, with the highest priority: a broken stream
     /// takes precedence over requests that have not started.
-    fn resume_job(&self) -> Job {
+    fn resume_job(&self, version: VersionId) -> Job {
         let now = self.shared.clock.now();
         Job {
             priority: Priority { tier: 0, route_tier: 0 },
@@ -327,7 +342,7 @@
             is_last_attempt: true,
             objective_at: now + RESUME_WAIT_LIMIT,
             queue_deadline: now + RESUME_WAIT_LIMIT,
-            version: Some(self.version),
+            version: Some(version),
             excluded: self.attempts.excluded.clone(),
             ..self.admitted.to_job()
         }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -17,6 +17,7 @@
 
 use super::Gateway;
 use super::metrics::Metrics;
+use super::stream_versions::StreamVersions;
 use crate::Settings;
 use crate::allowance::{BucketOwner, CreditReply, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
@@ -59,6 +60,10 @@
     pub(super) keys: CustomerKeys,
     pub(super) requires_keys: bool,
     pub(super) limits: CallerLimits,
+    /// Services to which routes send streams that may be resumed.
+    pub(super) resumable_services: Vec<ServiceId>,
+    /// Time for which such a stream lasts at most, over all attempts of its caller.
+    pub(super) stream_lifetime: Duration,
 }
 
 /// A slot request whose reply is awaited.
@@ -123,6 +128,8 @@
     pub(super) has_rates: Cell<bool>,
     /// Requests and prompt parts under which upstreams end.
     pub(super) crash_quarantine: RefCell<CrashQuarantine>,
+    /// Versions that began streams.
+    pub(super) stream_versions: StreamVersions,
     /// What this gateway knows from the store, for others that know less.
     pub(super) store_copy: RefCell<StoreCopy>,
     /// Changes between two positions as last sent to a peer, since a zone asks for the same ones.
@@ -184,6 +191,7 @@
             upstream_limits: RefCell::default(),
             has_rates: Cell::new(false),
             crash_quarantine: RefCell::default(),
+            stream_versions: StreamVersions::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
             due_peer_read: Cell::default(),
@@ -250,7 +258,10 @@
     /// Fingerprint of the state known from the store; equal on gateways that know the same state.
     pub(super) fn fingerprint(&self) -> u64 {
         let version = self.configuration().map_or(0, |configuration| configuration.version);
-        self.upstream_table.borrow().fingerprint() ^ self.members_fingerprint.get() ^ version
+        self.upstream_table.borrow().fingerprint()
+            ^ self.members_fingerprint.get()
+            ^ self.version_markers().borrow().fingerprint()
+            ^ version
     }
 
     /// Records that the store confirmed the known state; `confirmed_at` is an uptime.
@@ -328,6 +339,7 @@
         }
         self.crash_quarantine.borrow_mut().expire(now);
         self.expire_upstream_notices(now);
+        self.expire_streams(now);
         self.pool.evict_expired(now);
         self.update_store_lag();
         self.update_leaving();
--- /dev/null
+++ b/components/gateway/src/stream_versions/lookup.rs
@@ -0,0 +1,69 @@
+//! Finds the version that began a stream in what the store holds.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+
+use super::{Marker, StreamId, StreamRecord};
+use crate::model::{ServiceId, VersionId};
+
+/// What is known of the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A record of a gateway names it.
+    Recorded(VersionId),
+    /// The stream is in no record, and the marker of its service names it.
+    Only(VersionId),
+    /// It is not known.
+    Unknown,
+}
+
+/// Markers and records of all gateways, read together.
+#[derive(Debug, Clone, Default)]
+pub struct RecordedStreams {
+    /// Era of the store.
+    pub era: u64,
+    /// Markers by service.
+    pub markers: HashMap<ServiceId, Marker>,
+    /// Version that began each recorded stream; `None` if it is not known, or records disagree.
+    versions: HashMap<StreamId, Option<VersionId>>,
+}
+
+impl RecordedStreams {
+    /// Collects what the store holds in an era.
+    pub fn new(
+        era: u64,
+        markers: HashMap<ServiceId, Marker>,
+        records: impl IntoIterator<Item = StreamRecord>,
+    ) -> RecordedStreams {
+        let mut versions: HashMap<StreamId, Option<VersionId>> = HashMap::new();
+        for StreamRecord { version, streams } in records {
+            for stream in streams {
+                match versions.entry(stream) {
+                    Entry::Occupied(mut known) if *known.get() != version => {
+                        known.insert(None);
+                    }
+                    Entry::Occupied(_) => {}
+                    Entry::Vacant(vacant) => {
+                        vacant.insert(version);
+                    }
+                }
+            }
+        }
+        RecordedStreams { era, markers, versions }
+    }
+
+    /// Finds the version that began a stream. `service` is the service of streams in no record.
+    pub fn origin(&self, stream: StreamId, service: ServiceId) -> Origin {
+        match self.versions.get(&stream) {
+            Some(Some(version)) => Origin::Recorded(*version),
+            Some(None) => Origin::Unknown,
+            None => self.origin_of_unrecorded(service),
+        }
+    }
+
+    /// Finds the version that began a stream of which nothing is known but its service.
+    pub fn origin_of_unrecorded(&self, service: ServiceId) -> Origin {
+        let marker = self.markers.get(&service);
+        marker.and_then(|marker| marker.only_in(self.era)).map_or(Origin::Unknown, Origin::Only)
+    }
+}
--- a/components/gateway/src/upstream_table.rs
+++ b/components/gateway/src/upstream_table.rs
@@ -4,6 +4,7 @@
 //! leases ended meanwhile or because it was restored from an older copy.
 
 use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -156,6 +157,11 @@
         self.entries.is_empty()
     }
 
+    /// Software version that an instance announces, or last announced.
+    pub fn version_of(&self, instance: &str) -> Option<Rc<str>> {
+        self.entries.get(instance).map(|entry| entry.upstream.version.clone())
+    }
+
     /// Usable upstreams, including draining ones.
     pub fn usable(&self) -> Vec<Upstream> {
         self.entries.values().map(|entry| entry.upstream.clone()).collect()
--- a/components/gateway/tests/broker.rs
+++ b/components/gateway/tests/broker.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bolero::TypeGenerator;
-use gateway::broker::{AddressedReply, Broker, SlotReply, SlotRequestId, WireJob};
+use gateway::broker::{AddressedReply, Broker, JobExtension, SlotReply, SlotRequestId, WireJob};
 use gateway::model::{ServiceId, Topology, Upstream, UpstreamId};
 use gateway::scheduler::{AttemptOutcome, Observation, Priority, RouteId};
 
--- a/components/gateway/tests/upstream_limits.rs
+++ b/components/gateway/tests/upstream_limits.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use gateway::broker::{Broker, SlotReply, WireJob};
+use gateway::broker::{Broker, JobExtension, SlotReply, WireJob};
 use gateway::model::{ServiceId, StatedLimit, Topology, Upstream, UpstreamId};
 use gateway::scheduler::{AttemptOutcome, Observation, Priority, RouteId};
 use gateway::upstream_limits::{AssigningRole, LimitChange, UpstreamLimits};
@@ -163,9 +163,9 @@
         pause_objective_ms: None,
         wait_left_ms,
         time_left_ms: 6_000,
-        version: None,
         excluded: vec![],
         suspect: vec![],
+        extension: JobExtension::default(),
     }
 }
 
