Believe a refusal only if it names the request

A faulty upstream wrote an earlier refusal once more on a connection that it keeps. Callers were told that a booking had not run although it had, or it ran at a second upstream. Cause: the head of a response was taken for a refusal, and for notices of the upstream, before its attempt id was compared. The id now comes first. A response that names no request counts only on a connection that has served no other one, and never as a success.

--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -59,6 +59,13 @@
     DeadlinePassed,
 }
 
+/// Whether a connection has served other requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionUse {
+    First,
+    Reused,
+}
+
 impl Shared {
     /// Sends a request to the upstream of its slot and waits for the head of the response.
     pub(super) async fn send_request(
@@ -84,7 +91,8 @@
         let retryable = admitted.route.kind.may_retry();
         let max_idle = if retryable { MAX_IDLE_RETRYABLE } else { MAX_IDLE_NON_RETRYABLE };
         if let Some(idle) = self.pool.take(address, self.clock.now(), max_idle) {
-            match self.send_on_connection(idle, admitted, slot, resume_after).await {
+            let connection = (idle, ConnectionUse::Reused);
+            match self.send_on_connection(connection, admitted, slot, resume_after).await {
                 SendResult::Ended(AttemptResult::NotSent) => {}
                 result => return result,
             }
@@ -92,6 +100,7 @@
         self.metrics.upstream_connections.inc();
         match link::connect(address, UPSTREAM_TIMEOUTS).await {
             Ok(connection) => {
+                let connection = (connection, ConnectionUse::First);
                 self.send_on_connection(connection, admitted, slot, resume_after).await
             }
             Err(error) => {
@@ -108,7 +117,7 @@
 
     async fn send_on_connection(
         &self,
-        mut connection: Connection,
+        (mut connection, connection_use): (Connection, ConnectionUse),
         admitted: &AdmittedRequest,
         slot: &mut SlotGuard,
         resume_after: Option<u64>,
@@ -128,7 +137,9 @@
             }
         };
         match response {
-            Ok(response) => self.check_response(admitted, slot, connection, response),
+            Ok(response) => {
+                self.check_response(admitted, slot, (connection, connection_use), response)
+            }
             Err(LinkError::NotSent(_)) => SendResult::Ended(AttemptResult::NotSent),
             Err(LinkError::Unknown(reason)) => {
                 self.record_broken_off(admitted, slot);
@@ -174,18 +185,34 @@
         Ok(request)
     }
 
-    /// Checks from the head of a response whether the upstream ran the request, and whether the
-    /// response belongs to it.
+    /// Checks from the head of a response whether it belongs to the request, and whether the upstream
+    /// ran that. A faulty upstream may write a response once more on a connection that it keeps; one
+    /// that belongs to another request says nothing, least of all that this one did not run.
     fn check_response(
         &self,
         admitted: &AdmittedRequest,
         slot: &mut SlotGuard,
-        connection: Connection,
+        (connection, connection_use): (Connection, ConnectionUse),
         response: LinkResponse,
     ) -> SendResult {
         let (head, body) = Response::into_parts(response);
         let metadata = self.header_codec.decode_response(head.status, &head.headers);
         slot.record_activity();
+        let echoed_id = metadata.attempt_id.as_deref();
+        let belongs = match echoed_id {
+            Some(id) => id == admitted.metadata.attempt_id,
+            // An upstream that cannot read a request may not name it. On a connection that has served
+            // other requests, it may be one of those that the response belongs to.
+            None => connection_use == ConnectionUse::First && !head.status.is_success(),
+        };
+        if !belongs || (head.status.is_success() && !metadata.signed) {
+            let signed = metadata.signed;
+            let reason = format!(
+                "response does not match the request: echoed={echoed_id:?} signed={signed}"
+            );
+            self.record_failure(admitted, slot, &reason);
+            return SendResult::Ended(AttemptResult::Unknown);
+        }
         self.record_notices(slot, &metadata);
         if metadata.not_run {
             slot.release(if metadata.other_instance {
@@ -195,17 +222,6 @@
             });
             return SendResult::Ended(AttemptResult::Declined);
         }
-        let echoed_id = metadata.attempt_id.as_deref();
-        let is_mismatched = echoed_id.is_some_and(|id| id != admitted.metadata.attempt_id);
-        if is_mismatched || (head.status.is_success() && (!metadata.signed || echoed_id.is_none()))
-        {
-            let signed = metadata.signed;
-            let reason = format!(
-                "response does not match the request: echoed={echoed_id:?} signed={signed}"
-            );
-            self.record_failure(admitted, slot, &reason);
-            return SendResult::Ended(AttemptResult::Unknown);
-        }
         let started = StartedResponse {
             status: head.status,
             headers: head.headers,
