--- a/components/gateway/src/scheduler/mod.rs
+++ b/components/gateway/src/scheduler/mod.rs
@@ -135,7 +135,7 @@
         let of_service = self.by_service.get(&service).into_iter().flatten();
         let states = of_service.filter_map(|upstream| self.upstreams.get(upstream));
         states.fold((0, 0), |(running, slots), state| {
-            (running + state.running(), slots + state.upstream.slots)
+            (running + state.running(), slots.saturating_add(state.upstream.slots))
         })
     }
 
--- a/components/gateway/src/scheduler/upstream_state.rs
+++ b/components/gateway/src/scheduler/upstream_state.rs
@@ -123,12 +123,12 @@
     }
 
     pub(super) fn has_free_slot(&self) -> bool {
-        self.running() < self.upstream.slots + self.extra_slots.allowed
+        self.running() < self.upstream.slots.saturating_add(self.extra_slots.allowed)
     }
 
     /// Allows requests beyond the slots, if the upstream belongs to a plain service.
     pub(super) fn allow_extra_slots(&mut self) {
-        let limit = self.upstream.slots * PLAIN_EXTRA_SLOTS;
+        let limit = self.upstream.slots.saturating_mul(PLAIN_EXTRA_SLOTS);
         if self.extra_slots.limit != limit {
             self.extra_slots = ExtraSlots { limit, allowed: limit, served: 0 };
         }
