Count gateways that a reachable peer counts

Digests now carry the number of members that the sender knows, and a gateway goes by the largest number of a reachable peer. Only members are told on, so that the number falls again. The field follows the digest's extension; gateways of the version before skip it.

--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -8,7 +8,7 @@
 
 use crate::allowance::{BucketLevel, CreditReply, CreditRequest};
 use crate::model::{PeerId, ServiceId, UpstreamId, VersionId};
-use crate::peers::Digest;
+use crate::peers::{Digest, DigestExtension};
 use crate::scheduler::{Job, Observation, Priority, Rejection, RouteId};
 use crate::shared_read::SharedRead;
 
@@ -268,7 +268,13 @@
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
         let bytes = postcard::to_extend(self, vec![FORMAT])?;
         match self {
-            Message::Digest(digest) => Ok(postcard::to_extend(&digest.extension, bytes)?),
+            Message::Digest(digest) => {
+                let bytes = postcard::to_extend(&digest.extension, bytes)?;
+                match digest.extension.gateway_count {
+                    Some(count) => Ok(postcard::to_extend(&count, bytes)?),
+                    None => Ok(bytes),
+                }
+            }
             Message::SlotRequest { job, .. } => Ok(postcard::to_extend(&job.extension, bytes)?),
             _ => Ok(bytes),
         }
@@ -282,7 +288,7 @@
         let (mut message, rest) = postcard::take_from_bytes(message)?;
         if !rest.is_empty() {
             match &mut message {
-                Message::Digest(digest) => digest.extension = postcard::from_bytes(rest)?,
+                Message::Digest(digest) => digest.extension = decode_digest_extension(rest)?,
                 Message::SlotRequest { job, .. } => job.extension = postcard::from_bytes(rest)?,
                 _ => {}
             }
@@ -306,3 +312,11 @@
         }
     }
 }
+
+/// Decodes the fields that follow a digest: those of the version before, then those that this one
+/// has in addition.
+fn decode_digest_extension(bytes: &[u8]) -> Result<DigestExtension, MessageError> {
+    let (extension, rest) = postcard::take_from_bytes::<DigestExtension>(bytes)?;
+    let gateway_count = if rest.is_empty() { None } else { Some(postcard::from_bytes(rest)?) };
+    Ok(DigestExtension { gateway_count, ..extension })
+}
--- a/components/gateway/src/peers/digest.rs
+++ b/components/gateway/src/peers/digest.rs
@@ -49,4 +49,8 @@
     /// Milliseconds between the last confirmation of customers' keys and that of the state: the
     /// store may hold an older copy, in which keys are valid that were taken away.
     pub keys_lag_ms: u32,
+    /// Gateways that the sender counts, itself included; `None` from the version before. It follows
+    /// the other fields by itself.
+    #[serde(skip)]
+    pub gateway_count: Option<u32>,
 }
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -58,6 +58,8 @@
     sequence: u32,
     /// When the store confirmed the peer's state, as uptime of this host.
     confirmed_at: Option<Duration>,
+    /// Gateways that the peer counts, itself included.
+    counted: usize,
 }
 
 impl PeerState {
@@ -107,6 +109,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: HashMap<PeerId, PeerState>,
+    /// Largest number of gateways that a reachable peer counts.
+    counted_by_peers: usize,
 }
 
 impl Peers {
@@ -131,6 +135,7 @@
                 leaving: false,
                 sequence: 0,
                 confirmed_at: None,
+                counted: 0,
             });
             peer.address = member.address;
         }
@@ -161,6 +166,14 @@
         reachable.filter_map(|peer| peer.confirmed_at).max()
     }
 
+    /// Records how many gateways a member counts, itself included.
+    pub fn record_count(&mut self, id: PeerId, counted: usize) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.counted = counted;
+            self.counted_by_peers = self.counted_by_peers.max(counted);
+        }
+    }
+
     /// Removes members whose store entry is gone and that have been silent for long.
     pub fn expire_departed(&mut self, now: Instant) {
         self.peers.retain(|_, peer| {
@@ -171,6 +184,8 @@
                 now.saturating_duration_since(last) < DEPARTED_RETENTION
             })
         });
+        let reachable = self.peers.values().filter(|peer| peer.is_reachable(now));
+        self.counted_by_peers = reachable.map(|peer| peer.counted).max().unwrap_or(0);
     }
 
     /// Whether a process counts as a member.
@@ -240,8 +255,15 @@
         (reachable + 1) as f64 / self.gateway_count() as f64
     }
 
-    /// Number of gateways, including this one.
-    pub fn gateway_count(&self) -> usize {
+    /// Number of members, including this process.
+    pub fn member_count(&self) -> usize {
         self.peers.len() + 1
     }
+
+    /// Number of gateways, including this one: as many as the members, or as a reachable peer
+    /// counts. A gateway that is cut off from the store serves on, and one that started since does
+    /// not find it in the member list.
+    pub fn gateway_count(&self) -> usize {
+        self.member_count().max(self.counted_by_peers)
+    }
 }
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -221,6 +221,8 @@
             limits: self.upstream_limits.borrow().news(now),
             request_news: self.crash_quarantine.borrow().request_news(now),
             keys_lag_ms: self.keys_lag_ms(),
+            // What peers count isn't told on: it would never fall.
+            gateway_count: u32::try_from(self.peers.borrow().member_count()).ok(),
         };
         Digest {
             fingerprint: self.fingerprint(),
@@ -321,6 +323,9 @@
             let confirmed_at = self.clock.uptime().saturating_sub(age);
             self.peers.borrow_mut().record_confirmation(digest.from, confirmed_at);
         }
+        if let Some(counted) = digest.extension.gateway_count {
+            self.peers.borrow_mut().record_count(digest.from, counted as usize);
+        }
         self.handle_quarantine_news(digest.from, &digest.part_news);
         self.handle_quarantine_news(digest.from, &digest.extension.request_news);
         self.handle_leaving_upstreams(digest.from, &digest.leaving_upstreams);
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -77,6 +77,7 @@
                 ..QuarantineNews::default()
             },
             keys_lag_ms: 1_200,
+            gateway_count: Some(300),
         },
     }
 }
@@ -98,12 +99,18 @@
     // The version before decodes what follows the format byte and does not look at the rest.
     assert_eq!(postcard::from_bytes(&bytes[1..]), Ok(Message::Digest(earlier.clone())));
     let extension = postcard::to_stdvec(&digest().extension).expect("encodes");
-    let of_version_before = &bytes[..bytes.len() - extension.len()];
-    assert_eq!(Message::decode(of_version_before), Ok(Message::Digest(earlier)));
+    let count_bytes = 2;
+    let of_version_before = &bytes[..bytes.len() - count_bytes];
+    let uncounted = DigestExtension { gateway_count: None, ..digest().extension };
+    let before = Digest { extension: uncounted, ..digest() };
+    assert_eq!(Message::decode(of_version_before), Ok(Message::Digest(before)));
+    let without_extension = &bytes[..bytes.len() - count_bytes - extension.len()];
+    assert_eq!(Message::decode(without_extension), Ok(Message::Digest(earlier)));
     let mut of_version_after = bytes.clone();
     of_version_after.extend([1, 2, 3]);
     assert_eq!(Message::decode(&of_version_after), Ok(message));
     assert!(Message::decode(&bytes[..bytes.len() - 1]).is_err(), "half of a field");
+    assert!(Message::decode(&of_version_before[..of_version_before.len() - 1]).is_err());
 }
 
 #[test]
@@ -168,3 +175,31 @@
     assert!(peers.set_leaving(2, false));
     assert_eq!(ids(&peers, now + Duration::from_secs(2)), [0_u64; 0], "all members are silent");
 }
+
+/// Guards against an allowance that is granted twice: a gateway is cut off from the store alone and
+/// serves on, another one starts and does not find it in the member list.
+#[test]
+fn a_gateway_that_starts_does_not_count_one_that_is_cut_off_from_the_store() {
+    let start = Instant::now();
+    let mut peers = Peers::default();
+    peers.set_members(&[member(1, 7000), member(2, 7001)], start);
+    for id in [1, 2] {
+        assert!(peers.accept_digest(id, 1, start));
+    }
+    assert_eq!(peers.gateway_count(), 3);
+    assert_eq!(peers.reachable_share(start), 1.0);
+    // The others have known it since before its registration lapsed.
+    peers.record_count(1, 4);
+    peers.record_count(2, 3);
+    assert_eq!((peers.gateway_count(), peers.member_count()), (4, 3));
+    assert_eq!(peers.reachable_share(start), 0.75);
+    peers.expire_departed(start);
+    assert_eq!(peers.gateway_count(), 4);
+    // They forget it, or fall silent.
+    peers.record_count(1, 3);
+    peers.expire_departed(start);
+    assert_eq!(peers.gateway_count(), 3);
+    peers.record_count(1, 4);
+    peers.expire_departed(start + Duration::from_secs(10));
+    assert_eq!(peers.gateway_count(), 3);
+}
