Give streams that are known to have broken off the precedence of resumed ones

Cause: a stream that a gateway resumes within its answer goes before requests that have not begun, one that its caller takes up waited among them. It has the same precedence now, if a record shows that it began; the caller's word alone gives none, as anybody may send it.

Also writes the records again after a change of a marker, also if no stream has begun since: with two services, streams of one could stay in no record.

--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -74,6 +74,8 @@
     pub(super) stream: Option<StreamId>,
     /// Software version at which a stream that its caller takes up has to go on.
     pub(super) version: Option<VersionId>,
+    /// Whether the stream is known to have begun and broken off.
+    resumes: bool,
     /// Availability zone of this gateway.
     zone: Rc<str>,
     /// Output tokens in each event of the service's streams.
@@ -95,14 +97,14 @@
         Job {
             service: ServiceId::of(&self.service),
             route: RouteId(xxh3_64(self.route.name.as_bytes()) as u32),
-            priority: self.priority,
+            priority: if self.resumes { Priority::RESUMED } else { self.priority },
             zone: self.zone.clone(),
             prompt_tokens: self.metadata.prompt_tokens.unwrap_or(0),
             output_tokens: self.metadata.expected_output_tokens(),
             tokens_per_event: self.tokens_per_event,
             is_stream: self.route.kind.is_stream(),
             session_part: self.metadata.prompt_parts.last().map(|part| part.id),
-            is_last_attempt: self.is_caller_retry(),
+            is_last_attempt: self.resumes || self.is_caller_retry(),
             arrived: self.arrived,
             objective_at: self.arrived + self.route.latency_objective,
             pause_objective: self.route.pause_objective,
@@ -185,7 +187,7 @@
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = arrived + timeout;
         let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
-        let StreamTarget { service, stream, version } =
+        let StreamTarget { service, stream, version, resumes } =
             self.choose_target(&route, &metadata, customer_name, arrived, timeout).await?;
         let tokens_per_event = configuration.tokens_per_event.get(&service).copied().unwrap_or(1);
         let max_wait = (route.latency_objective / OWNER_WAIT_DIVISOR).min(timeout);
@@ -204,6 +206,7 @@
             service,
             stream,
             version,
+            resumes,
             zone: self.own_zone.clone(),
             tokens_per_event,
             customer,
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -161,12 +161,12 @@
     }
 
     fn set_stream_record_store(&self, store: Rc<dyn StreamRecordStore>) {
-        Shared::set_stream_record_store(self, store);
+        *self.stream_versions.store.borrow_mut() = Some(store);
     }
 
     fn apply_version_marker(&self, service: ServiceId, marker: Option<Marker>, position: Position) {
-        self.version_markers().borrow_mut().apply(service, marker, position);
-        self.request_stream_records();
+        self.stream_versions.markers.borrow_mut().apply(service, marker, position);
+        self.record_marker_change();
     }
 
     fn replace_version_markers(
@@ -174,8 +174,8 @@
         listed: Vec<(ServiceId, Marker, Position)>,
         position: Position,
     ) {
-        self.version_markers().borrow_mut().replace_all(listed, position);
-        self.request_stream_records();
+        self.stream_versions.markers.borrow_mut().replace_all(listed, position);
+        self.record_marker_change();
     }
 
     fn mark_stream_records_lost(&self) {
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -290,8 +290,8 @@
             && route.pause_objective.is_none_or(|longest| self.longest_pause <= longest)
     }
 
-    /// Resumes the stream at another upstream of its version after the last complete event; returns whether that
-    /// succeeded.
+    /// Resumes the stream after the last complete event, at another upstream of its version; returns
+    /// whether that succeeded.
     async fn resume(&mut self) -> bool {
         self.splitter.reset();
         let admitted = self.admitted.clone();
@@ -332,12 +332,11 @@
         false
     }
 
-    /// Describes the resumed stream for the scheduler, with the highest priority: a broken stream
-    /// takes precedence over requests that have not started.
+    /// Describes the resumed stream for the scheduler.
     fn resume_job(&self, version: VersionId) -> Job {
         let now = self.shared.clock.now();
         Job {
-            priority: Priority { tier: 0, route_tier: 0 },
+            priority: Priority::RESUMED,
             session_part: None,
             is_last_attempt: true,
             objective_at: now + RESUME_WAIT_LIMIT,
--- a/components/gateway/src/runtime/stream_versions.rs
+++ b/components/gateway/src/runtime/stream_versions.rs
@@ -58,11 +58,12 @@
 #[derive(Default)]
 pub(super) struct StreamVersions {
     log: RefCell<StreamLog>,
-    markers: RefCell<Markers>,
+    /// Markers as known from the store.
+    pub(super) markers: RefCell<Markers>,
     keeper: RefCell<MarkerKeeper>,
     /// Versions of the announced upstreams of each service.
     announced: RefCell<HashMap<ServiceId, Vec<VersionId>>>,
-    store: RefCell<Option<Rc<dyn StreamRecordStore>>>,
+    pub(super) store: RefCell<Option<Rc<dyn StreamRecordStore>>>,
     /// Services whose marker is being written.
     marker_writes: RefCell<HashSet<ServiceId>>,
     /// Revision of the log whose records were last written.
@@ -80,26 +81,21 @@
     pub(super) stream: Option<StreamId>,
     /// Version at which the stream has to go on; `None` if it begins.
     pub(super) version: Option<VersionId>,
+    /// Whether the stream is known to have begun and broken off. A caller may claim that of any
+    /// request, so its word alone gives no precedence.
+    pub(super) resumes: bool,
 }
 
 impl Shared {
-    pub(super) fn set_stream_record_store(&self, store: Rc<dyn StreamRecordStore>) {
-        *self.stream_versions.store.borrow_mut() = Some(store);
-    }
-
-    /// Markers as known from the store.
-    pub(super) fn version_markers(&self) -> &RefCell<Markers> {
-        &self.stream_versions.markers
-    }
-
     /// Writes the records of this gateway again.
     pub(super) fn rewrite_stream_records(&self) {
         self.stream_versions.written_revision.set(None);
         self.stream_versions.record_notify.notify_one();
     }
 
-    /// Writes the records of this gateway if a marker no longer stands for them.
-    pub(super) fn request_stream_records(&self) {
+    /// Writes the records of this gateway if a changed marker no longer stands for its streams.
+    pub(super) fn record_marker_change(&self) {
+        self.stream_versions.log.borrow_mut().record_marker_change();
         self.stream_versions.record_notify.notify_one();
     }
 
@@ -180,7 +176,8 @@
         let service = pick_target(&route.targets, sample)
             .ok_or_else(|| Refusal::not_run(ResultCode::NoUpstream))?;
         if !is_taken_up {
-            return Ok(StreamTarget { service: service.to_owned(), stream, version: None });
+            let service = service.to_owned();
+            return Ok(StreamTarget { service, stream, version: None, resumes: false });
         }
         let origin = self.find_origin(stream, ServiceId::of(service), arrived).await;
         let target = self.target_at_origin(route, service, origin);
@@ -194,7 +191,9 @@
         let (service, version) = target.map_err(|code| {
             self.not_run_refusal(code, clamp_retry_after(TAKE_UP_RETRY_AFTER, time_left))
         })?;
-        Ok(StreamTarget { service: service.to_owned(), stream, version: Some(version) })
+        let (service, version) = (service.to_owned(), Some(version));
+        let resumes = matches!(origin, Origin::Recorded(_));
+        Ok(StreamTarget { service, stream, version, resumes })
     }
 
     /// The service and version of a stream that its caller takes up. `chosen` is the service of
@@ -413,7 +412,7 @@
                         Some(marker),
                         position,
                     );
-                    shared.stream_versions.record_notify.notify_one();
+                    shared.record_marker_change();
                 }
                 Err(error) => {
                     info!("stream_marker.unwritten service={service:?} reason={error}");
--- a/components/gateway/src/scheduler/job.rs
+++ b/components/gateway/src/scheduler/job.rs
@@ -18,6 +18,11 @@
     pub route_tier: u8,
 }
 
+impl Priority {
+    /// Priority of streams that broke off: they take precedence over requests that have not begun.
+    pub const RESUMED: Priority = Priority { tier: 0, route_tier: 0 };
+}
+
 /// Id of a route, used between gateways. Requests of one route are similar in size and value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RouteId(pub u32);
--- a/components/gateway/src/stream_versions/stream_log.rs
+++ b/components/gateway/src/stream_versions/stream_log.rs
@@ -40,7 +40,7 @@
 #[derive(Debug, Default)]
 pub struct StreamLog {
     streams: HashMap<StreamId, LoggedStream>,
-    /// Increases when a stream is added or its version changes.
+    /// Increases when the records may hold more than before.
     revision: u64,
 }
 
@@ -106,7 +106,12 @@
         self.streams.get(&stream).map(|logged| logged.version)
     }
 
-    /// Number that increases when a stream is added or its version changes.
+    /// Records that a marker has changed, which may no longer stand for streams in the log.
+    pub fn record_marker_change(&mut self) {
+        self.revision += 1;
+    }
+
+    /// Number that increases when a stream is added, or its version or a marker changes.
     pub fn revision(&self) -> u64 {
         self.revision
     }
--- a/components/gateway/tests/stream_versions.rs
+++ b/components/gateway/tests/stream_versions.rs
@@ -137,6 +137,18 @@
     assert_eq!(log.records(|_| None), all);
 }
 
+/// Guards against streams of one service that are in no record as its marker changes, because the
+/// records of another service have been written since they began.
+#[test]
+fn a_marker_changes_and_the_records_are_not_written_again() {
+    let now = Instant::now();
+    let mut log = StreamLog::default();
+    log.begin(stream(1), service(), Some(V1), "i-1".into(), now);
+    let written = log.revision();
+    log.record_marker_change();
+    assert!(log.revision() > written);
+}
+
 #[test]
 fn a_broken_stream_is_forgotten_while_it_may_be_taken_up_or_kept_for_ever() {
     let now = Instant::now();
