Separate the decisions on versions from the sockets and calls that carry them out

Heads name the loads. A connection counts its requests, so that nobody passes on whether it was used before. No behaviour changes.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
 //! `crash_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`,
-//! `stream_versions`, `reachability`,
+//! `stream_versions`, `response_match`, `reachability`,
 //! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`,
 //! `key_confirmation`) do no I/O: they take facts and the current time and return decisions.
 //! `runtime` carries the decisions out on one thread. A platform adapter implements `HeaderCodec`
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod reachability;
 pub mod read_schedule;
+pub mod response_match;
 pub mod retry;
 pub mod retry_budget;
 pub mod routes;
--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -1,4 +1,8 @@
 //! The other gateways: membership and acceptance of their digests.
+//!
+//! Load pattern: a gateway that is cut off from the store alone serves on after its registration has
+//! lapsed, and another one that starts meanwhile does not find it in the member list. What they may
+//! grant together is shared out by the largest number of gateways that a reachable one counts.
 
 mod digest;
 
--- a/components/gateway/src/routes.rs
+++ b/components/gateway/src/routes.rs
@@ -1,9 +1,18 @@
-//! Selects the route of a request.
+//! Selects the route of a request, and tells which streams may be resumed.
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
-use crate::model::{Route, Target};
+use crate::model::{Route, RouteKind, ServiceId, Target};
+
+/// Time for which a stream may last over all attempts of its caller, in multiples of the longest
+/// timeout of a route.
+const STREAM_LIFETIME_TIMEOUTS: u32 = 2;
+
+/// Bounds of that time; the store keeps no record for longer than the upper one.
+const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(10);
+const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(400);
 
 /// Routes of one configuration version, by host.
 #[derive(Debug, Default)]
@@ -55,3 +64,23 @@
     }
     targets.last().map(|target| target.service.as_str())
 }
+
+fn resumable_routes(routes: &[Route]) -> impl Iterator<Item = &Route> {
+    routes.iter().filter(|route| route.kind == RouteKind::Stream { resumable: true })
+}
+
+/// Services to which routes send streams that may be resumed.
+pub fn resumable_services(routes: &[Route]) -> Vec<ServiceId> {
+    let targets = resumable_routes(routes).flat_map(|route| &route.targets);
+    let mut services: Vec<ServiceId> =
+        targets.map(|target| ServiceId::of(&target.service)).collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+}
+
+/// Time for which a stream that may be resumed lasts at most, over all attempts of its caller.
+pub fn stream_lifetime(routes: &[Route]) -> Duration {
+    let longest = resumable_routes(routes).map(|route| route.timeout).max().unwrap_or_default();
+    longest.saturating_mul(STREAM_LIFETIME_TIMEOUTS).clamp(MIN_STREAM_LIFETIME, MAX_STREAM_LIFETIME)
+}
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -15,6 +15,7 @@
 use super::state::{Shared, UPSTREAM_TIMEOUTS};
 use crate::header_codec::AttemptMetadata;
 use crate::model::{RequestMetadata, ResponseMetadata};
+use crate::response_match::belongs_to_request;
 use crate::retry::AttemptResult;
 use crate::scheduler::AttemptOutcome;
 
@@ -59,13 +60,6 @@
     DeadlinePassed,
 }
 
-/// Whether a connection has served other requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ConnectionUse {
-    First,
-    Reused,
-}
-
 impl Shared {
     /// Sends a request to the upstream of its slot and waits for the head of the response.
     pub(super) async fn send_request(
@@ -91,8 +85,7 @@
         let retryable = admitted.route.kind.may_retry();
         let max_idle = if retryable { MAX_IDLE_RETRYABLE } else { MAX_IDLE_NON_RETRYABLE };
         if let Some(idle) = self.pool.take(address, self.clock.now(), max_idle) {
-            let connection = (idle, ConnectionUse::Reused);
-            match self.send_on_connection(connection, admitted, slot, resume_after).await {
+            match self.send_on_connection(idle, admitted, slot, resume_after).await {
                 SendResult::Ended(AttemptResult::NotSent) => {}
                 result => return result,
             }
@@ -100,7 +93,6 @@
         self.metrics.upstream_connections.inc();
         match link::connect(address, UPSTREAM_TIMEOUTS).await {
             Ok(connection) => {
-                let connection = (connection, ConnectionUse::First);
                 self.send_on_connection(connection, admitted, slot, resume_after).await
             }
             Err(error) => {
@@ -117,7 +109,7 @@
 
     async fn send_on_connection(
         &self,
-        (mut connection, connection_use): (Connection, ConnectionUse),
+        mut connection: Connection,
         admitted: &AdmittedRequest,
         slot: &mut SlotGuard,
         resume_after: Option<u64>,
@@ -137,9 +129,7 @@
             }
         };
         match response {
-            Ok(response) => {
-                self.check_response(admitted, slot, (connection, connection_use), response)
-            }
+            Ok(response) => self.check_response(admitted, slot, connection, response),
             Err(LinkError::NotSent(_)) => SendResult::Ended(AttemptResult::NotSent),
             Err(LinkError::Unknown(reason)) => {
                 self.record_broken_off(admitted, slot);
@@ -186,27 +176,21 @@
     }
 
     /// Checks from the head of a response whether it belongs to the request, and whether the upstream
-    /// ran that. A faulty upstream may write a response once more on a connection that it keeps; one
-    /// that belongs to another request says nothing, least of all that this one did not run.
+    /// ran that. One that belongs to another request says nothing of this one or of the upstream.
     fn check_response(
         &self,
         admitted: &AdmittedRequest,
         slot: &mut SlotGuard,
-        (connection, connection_use): (Connection, ConnectionUse),
+        connection: Connection,
         response: LinkResponse,
     ) -> SendResult {
         let (head, body) = Response::into_parts(response);
         let metadata = self.header_codec.decode_response(head.status, &head.headers);
         slot.record_activity();
-        let echoed_id = metadata.attempt_id.as_deref();
-        let belongs = match echoed_id {
-            Some(id) => id == admitted.metadata.attempt_id,
-            // An upstream that cannot read a request may not name it. On a connection that has served
-            // other requests, it may be one of those that the response belongs to.
-            None => connection_use == ConnectionUse::First && !head.status.is_success(),
-        };
-        if !belongs || (head.status.is_success() && !metadata.signed) {
-            let signed = metadata.signed;
+        let attempt_id = &admitted.metadata.attempt_id;
+        let is_success = head.status.is_success();
+        if !belongs_to_request(&metadata, is_success, attempt_id, connection.request_count()) {
+            let ResponseMetadata { attempt_id: echoed_id, signed, .. } = &metadata;
             let reason = format!(
                 "response does not match the request: echoed={echoed_id:?} signed={signed}"
             );
--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -7,13 +7,12 @@
 
 use super::Directory;
 use super::state::{ActiveConfiguration, Shared};
-use super::stream_versions::{STREAM_LIFETIME_RANGE, STREAM_LIFETIME_TIMEOUTS};
 use crate::allowance::CustomerId;
 use crate::customers::CustomerKeys;
 use crate::key_confirmation::KeyConfirmation;
-use crate::model::{Configuration, Customer, Position, Route, RouteKind, ServiceId, Upstream};
+use crate::model::{Configuration, Customer, Position, ServiceId, Upstream};
 use crate::peers::{Candidate, Member};
-use crate::routes::RouteTable;
+use crate::routes::{RouteTable, resumable_services, stream_lifetime};
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
 use crate::stream_versions::{Marker, StreamRecordStore};
 use crate::upstream_table::UpstreamTableChange;
@@ -165,7 +164,7 @@
     }
 
     fn apply_version_marker(&self, service: ServiceId, marker: Option<Marker>, position: Position) {
-        self.stream_versions.markers.borrow_mut().apply(service, marker, position);
+        self.stream_versions.services.borrow_mut().markers_mut().apply(service, marker, position);
         self.record_marker_change();
     }
 
@@ -174,7 +173,7 @@
         listed: Vec<(ServiceId, Marker, Position)>,
         position: Position,
     ) {
-        self.stream_versions.markers.borrow_mut().replace_all(listed, position);
+        self.stream_versions.services.borrow_mut().markers_mut().replace_all(listed, position);
         self.record_marker_change();
     }
 
@@ -199,27 +198,6 @@
     }
 }
 
-/// Services to which routes send streams that may be resumed.
-fn resumable_services(routes: &[Route]) -> Vec<ServiceId> {
-    let targets = resumable_routes(routes).flat_map(|route| &route.targets);
-    let mut services: Vec<ServiceId> =
-        targets.map(|target| ServiceId::of(&target.service)).collect();
-    services.sort_unstable();
-    services.dedup();
-    services
-}
-
-fn resumable_routes(routes: &[Route]) -> impl Iterator<Item = &Route> {
-    routes.iter().filter(|route| matches!(route.kind, RouteKind::Stream { resumable: true }))
-}
-
-/// Time for which a stream that may be resumed lasts at most, over all attempts of its caller.
-fn stream_lifetime(routes: &[Route]) -> Duration {
-    let longest = resumable_routes(routes).map(|route| route.timeout).max().unwrap_or_default();
-    let (min, max) = STREAM_LIFETIME_RANGE;
-    longest.saturating_mul(STREAM_LIFETIME_TIMEOUTS).clamp(min, max)
-}
-
 impl Shared {
     /// Ends an outage of the store, as seen here or by a peer.
     pub(super) fn end_store_outage(&self) {
@@ -250,7 +228,7 @@
         let draining = usable.iter().filter(|upstream| upstream.draining).count();
         info!("upstreams.changed known={} draining={draining}", usable.len());
         let now = self.clock.now();
-        self.update_announced_versions(&usable);
+        self.stream_versions.services.borrow_mut().set_upstreams(&usable);
         self.set_usable_upstreams(&usable);
         let replies = self.broker.borrow_mut().set_upstreams(&usable, now);
         self.apply_limits(now);
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -260,7 +260,7 @@
         let version = self.configuration().map_or(0, |configuration| configuration.version);
         self.upstream_table.borrow().fingerprint()
             ^ self.members_fingerprint.get()
-            ^ self.stream_versions.markers.borrow().fingerprint()
+            ^ self.stream_versions.services.borrow().markers().fingerprint()
             ^ version
     }
 
--- a/components/gateway/src/stream_versions/lookup.rs
+++ b/components/gateway/src/stream_versions/lookup.rs
@@ -1,4 +1,7 @@
 //! Finds the version that began a stream in what the store holds.
+//!
+//! Load pattern: hundreds of callers take up their streams at once after all gateways were killed.
+//! One read of the store, a key for each gateway, answers all that wait for it.
 
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
@@ -21,9 +24,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct RecordedStreams {
     /// Era of the store.
-    pub era: u64,
-    /// Markers by service.
-    pub markers: HashMap<ServiceId, Marker>,
+    era: u64,
+    markers: HashMap<ServiceId, Marker>,
     /// Version that began each recorded stream; `None` if it is not known, or records disagree.
     versions: HashMap<StreamId, Option<VersionId>>,
 }
@@ -52,18 +54,16 @@
         RecordedStreams { era, markers, versions }
     }
 
-    /// Finds the version that began a stream. `service` is the service of streams in no record.
-    pub fn origin(&self, stream: StreamId, service: ServiceId) -> Origin {
-        match self.versions.get(&stream) {
+    /// Finds the version that began a stream; `None` stands for one of which nothing is known but
+    /// its service. `service` is that of streams in no record.
+    pub fn origin(&self, stream: Option<StreamId>, service: ServiceId) -> Origin {
+        match stream.and_then(|stream| self.versions.get(&stream)) {
             Some(Some(version)) => Origin::Recorded(*version),
             Some(None) => Origin::Unknown,
-            None => self.origin_of_unrecorded(service),
+            None => {
+                let only = self.markers.get(&service).and_then(|marker| marker.only_in(self.era));
+                only.map_or(Origin::Unknown, Origin::Only)
+            }
         }
     }
-
-    /// Finds the version that began a stream of which nothing is known but its service.
-    pub fn origin_of_unrecorded(&self, service: ServiceId) -> Origin {
-        let marker = self.markers.get(&service);
-        marker.and_then(|marker| marker.only_in(self.era)).map_or(Origin::Unknown, Origin::Only)
-    }
 }
--- a/components/gateway/src/stream_versions/marker.rs
+++ b/components/gateway/src/stream_versions/marker.rs
@@ -1,4 +1,8 @@
 //! Markers of services, as known from the store.
+//!
+//! Load pattern: gateways that learn of a marker by reads of their own, of peers and by writing it,
+//! in any order, and a store that comes back from an older copy. The latest position counts, and a
+//! marker of an earlier era names nothing.
 
 use std::collections::HashMap;
 
--- a/components/gateway/src/stream_versions/marker_keeper.rs
+++ b/components/gateway/src/stream_versions/marker_keeper.rs
@@ -1,5 +1,8 @@
 //! Decides when the marker of a service is written.
 //!
+//! Load pattern: a release that a hundred gateways notice within a second. They write one after the
+//! other by rank, so that the first write spares the rest.
+//!
 //! A marker that names one version is replaced as soon as another version is announced, before a
 //! stream that began there reaches its caller. It names a version again only after no other one has
 //! been announced for longer than a stream can last.
--- a/components/gateway/src/stream_versions/mod.rs
+++ b/components/gateway/src/stream_versions/mod.rs
@@ -21,6 +21,7 @@
 mod marker;
 mod marker_keeper;
 mod record_store;
+mod service_versions;
 mod stream_log;
 
 use serde::{Deserialize, Serialize};
@@ -30,7 +31,8 @@
 pub use marker::{Marker, Markers};
 pub use marker_keeper::{MarkerKeeper, ServiceView};
 pub use record_store::{RecordStoreError, StreamRecordStore};
-pub use stream_log::{StreamLog, StreamRecord};
+pub use service_versions::ServiceVersions;
+pub use stream_log::{DueRecords, StreamLog, StreamRecord, record_interval};
 
 /// Hash that identifies a stream: its customer, and the caller's attempt that brought its first
 /// event.
--- a/components/gateway/src/stream_versions/stream_log.rs
+++ b/components/gateway/src/stream_versions/stream_log.rs
@@ -1,4 +1,9 @@
 //! Streams that this gateway relays, and those that broke off at it.
+//!
+//! Load pattern: hundreds of streams a second at each of a hundred gateways, all of which write to
+//! one store with a rate limit. Each gateway writes all that it knows at once, less often in a large
+//! fleet, and nothing waits for it. Streams that broke off are kept for as long as they may be taken
+//! up, up to a bound.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -12,6 +17,13 @@
 /// Number of streams that are forgotten together.
 const FORGOTTEN_TOGETHER: usize = 1_024;
 
+/// Minimum interval between two writes of a gateway's records.
+const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The interval is at least this long for each gateway, so that the writes of all of them stay well
+/// below the rate limit of the store, which grows more slowly than the fleet.
+const RECORD_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(5);
+
 /// Time for which a gateway may not have read that an upstream has started again at another
 /// version. Streams that began within that time before it learns so may have begun at either one.
 const VERSION_LAG: Duration = Duration::from_secs(5);
@@ -36,12 +48,29 @@
     pub streams: Vec<StreamId>,
 }
 
+/// Records that the store does not hold yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DueRecords {
+    /// All records of this gateway.
+    pub records: Vec<StreamRecord>,
+    /// Revision of the log that they hold.
+    revision: u64,
+}
+
+/// Time between two writes of a gateway's records.
+pub fn record_interval(gateway_count: usize) -> Duration {
+    let gateway_count = u32::try_from(gateway_count).unwrap_or(u32::MAX);
+    MIN_RECORD_INTERVAL.max(RECORD_INTERVAL_PER_GATEWAY.saturating_mul(gateway_count))
+}
+
 /// Streams that this gateway relays, and those that broke off at it recently.
 #[derive(Debug, Default)]
 pub struct StreamLog {
     streams: HashMap<StreamId, LoggedStream>,
     /// Increases when the records may hold more than before.
     revision: u64,
+    /// Revision of which the store holds the records.
+    written_revision: Option<u64>,
 }
 
 impl StreamLog {
@@ -111,14 +140,28 @@
         self.revision += 1;
     }
 
-    /// Number that increases when a stream is added, or its version or a marker changes.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Records that the store may no longer hold the records.
+    pub fn record_loss(&mut self) {
+        self.written_revision = None;
+    }
+
+    /// Records that the store holds these records.
+    pub fn record_written(&mut self, written: &DueRecords) {
+        self.written_revision = Some(written.revision);
+    }
+
+    /// The records to write, if the store lacks any. `only` returns the version that a service's
+    /// marker names.
+    pub fn due_records(&self, only: impl Fn(ServiceId) -> Option<VersionId>) -> Option<DueRecords> {
+        if self.written_revision == Some(self.revision) {
+            return None;
+        }
+        let records = self.records(only);
+        (!records.is_empty()).then_some(DueRecords { records, revision: self.revision })
     }
 
-    /// What the store has to hold: all streams whose version follows from no marker. `only` returns
-    /// the version that a service's marker names.
-    pub fn records(&self, only: impl Fn(ServiceId) -> Option<VersionId>) -> Vec<StreamRecord> {
+    /// All streams whose version follows from no marker.
+    fn records(&self, only: impl Fn(ServiceId) -> Option<VersionId>) -> Vec<StreamRecord> {
         let mut by_version: BTreeMap<Option<VersionId>, Vec<StreamId>> = BTreeMap::new();
         for (stream, logged) in &self.streams {
             if logged.version.is_none() || logged.version != only(logged.service) {
--- a/components/gateway/tests/routes.rs
+++ b/components/gateway/tests/routes.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use gateway::model::{Route, RouteKind, Target};
-use gateway::routes::{RouteTable, pick_target};
+use gateway::model::{Route, RouteKind, ServiceId, Target};
+use gateway::routes::{RouteTable, pick_target, resumable_services, stream_lifetime};
 
 fn route(name: &str, host: &str, path_prefix: &str) -> Route {
     Route {
@@ -48,3 +48,27 @@
     assert_eq!(picked(0.999), Some("one"));
     assert_eq!(pick_target(&[], 0.5), None);
 }
+
+#[test]
+fn a_stream_counts_as_ended_while_its_caller_may_take_it_up() {
+    let with_timeout = |service: &str, kind, seconds| Route {
+        kind,
+        timeout: Duration::from_secs(seconds),
+        targets: vec![Target { service: service.to_owned(), weight: 1 }],
+        ..route(service, "a.example", "/x/")
+    };
+    let resumable = RouteKind::Stream { resumable: true };
+    let others = [
+        with_timeout("desk", RouteKind::Idempotent, 60),
+        with_timeout("once", RouteKind::Stream { resumable: false }, 60),
+    ];
+    assert_eq!(resumable_services(&others), []);
+    assert_eq!(stream_lifetime(&others), Duration::from_secs(10));
+    let mut routes = others.to_vec();
+    routes.push(with_timeout("models", resumable, 12));
+    routes.push(with_timeout("models", resumable, 3));
+    assert_eq!(resumable_services(&routes), [ServiceId::of("models")]);
+    assert_eq!(stream_lifetime(&routes), Duration::from_secs(24));
+    routes.push(with_timeout("models", resumable, 86_400));
+    assert_eq!(stream_lifetime(&routes), Duration::from_secs(400));
+}
--- a/components/gateway/tests/scheduler.rs
+++ b/components/gateway/tests/scheduler.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::model::{ServiceId, Topology, Upstream, VersionId};
+use gateway::model::{ServiceId, Topology, Upstream};
 use gateway::scheduler::{
     AttemptOutcome, Job, Observation, Priority, RejectionReason, RouteId, Scheduler, Slot, SlotId,
     Submission, WaiterId, Wakeup,
@@ -408,51 +408,3 @@
         }
     }
 }
-
-fn job_at_version(version: &str, now: Instant) -> Job {
-    Job { version: Some(VersionId::of("models", version)), ..job(TOP, 10, now) }
-}
-
-fn upstream_at_version(instance: &str, version: &str) -> Upstream {
-    Upstream { version: version.into(), ..upstream(instance, "a") }
-}
-
-#[test]
-fn a_stream_is_assigned_an_upstream_of_another_version() {
-    let now = Instant::now();
-    let older = upstream_at_version("older", "v1");
-    let mut scheduler = scheduler(&[older.clone(), upstream_at_version("newer", "v2")], now);
-    for _ in 0..SLOTS {
-        let slot = try_assign(&mut scheduler, job_at_version("v1", now), now);
-        assert_eq!(slot.expect("a free slot").upstream, older.id());
-    }
-    // It waits for its version, although the other one has free slots.
-    enqueue(&mut scheduler, job_at_version("v1", now), now);
-    assert!(try_assign(&mut scheduler, job_at_version("v3", now), now).is_none());
-}
-
-#[test]
-fn an_upstream_that_changes_its_version_gets_streams_of_the_one_before() {
-    let now = Instant::now();
-    let mut scheduler = scheduler(&[upstream_at_version("one", "v1")], now);
-    scheduler.set_upstreams(&[upstream_at_version("one", "v2")], now);
-    assert!(try_assign(&mut scheduler, job_at_version("v1", now), now).is_none());
-    assert!(try_assign(&mut scheduler, job_at_version("v2", now), now).is_some());
-}
-
-/// Load pattern: many streams of one version broke off at once, and wait for the few upstreams that
-/// are left of it.
-#[test]
-fn streams_that_wait_for_their_version_hold_up_others() {
-    let now = Instant::now();
-    let newer = upstream_at_version("newer", "v2");
-    let mut scheduler = scheduler(&[upstream_at_version("older", "v1"), newer.clone()], now);
-    let slots = occupy_slots(&mut scheduler, 2 * SLOTS, now);
-    for _ in 0..20 {
-        enqueue(&mut scheduler, job_at_version("v1", now), now);
-    }
-    let other = enqueue(&mut scheduler, job(TOP, 10, now), now);
-    let wakeups: Vec<Wakeup> =
-        slots.into_iter().flat_map(|slot| scheduler.release(slot, GATEWAY, SERVED, now)).collect();
-    assert!(assigned(&wakeups).contains(&other), "{:?}", assigned(&wakeups));
-}
--- a/components/gateway/tests/stream_versions.rs
+++ b/components/gateway/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 use gateway::model::{Position, ServiceId, VersionId};
 use gateway::stream_versions::{
     Marker, MarkerKeeper, Markers, Origin, RecordedStreams, ServiceView, StreamId, StreamLog,
-    StreamRecord,
+    StreamRecord, record_interval,
 };
 
 const V1: VersionId = VersionId(1);
@@ -44,6 +44,18 @@
     }
 }
 
+/// Records that are due while all markers name a version, or none does.
+fn records(log: &StreamLog, only: Option<VersionId>) -> Vec<StreamRecord> {
+    log.due_records(|_| only).map(|due| due.records).unwrap_or_default()
+}
+
+/// Has all records written.
+fn write(log: &mut StreamLog) {
+    let due = log.due_records(|_| None).expect("records are due");
+    log.record_written(&due);
+    assert_eq!(log.due_records(|_| None), None, "they are written");
+}
+
 #[test]
 fn a_marker_still_names_one_version_after_another_has_appeared() {
     let now = Instant::now();
@@ -132,9 +144,9 @@
     log.begin(stream(4), service(), Some(V2), "i-2".into(), now);
     log.complete(stream(4));
     let record = |version, number| StreamRecord { version, streams: vec![stream(number)] };
-    assert_eq!(log.records(|_| Some(V1)), [record(None, 3), record(Some(V2), 2)]);
+    assert_eq!(records(&log, Some(V1)), [record(None, 3), record(Some(V2), 2)]);
     let all = [record(None, 3), record(Some(V1), 1), record(Some(V2), 2)];
-    assert_eq!(log.records(|_| None), all);
+    assert_eq!(records(&log, None), all);
 }
 
 /// Guards against streams of one service that are in no record as its marker changes, because the
@@ -144,9 +156,9 @@
     let now = Instant::now();
     let mut log = StreamLog::default();
     log.begin(stream(1), service(), Some(V1), "i-1".into(), now);
-    let written = log.revision();
+    write(&mut log);
     log.record_marker_change();
-    assert!(log.revision() > written);
+    assert!(log.due_records(|_| None).is_some());
 }
 
 #[test]
@@ -172,7 +184,7 @@
         log.begin(stream(number), service(), Some(V1), "i-1".into(), now);
         log.break_off(stream(number), now + Duration::from_micros(number));
     }
-    let kept: usize = log.records(|_| None).iter().map(|record| record.streams.len()).sum();
+    let kept: usize = records(&log, None).iter().map(|record| record.streams.len()).sum();
     assert!((10_000..=16_384).contains(&kept), "{kept} streams");
     assert_eq!(log.version_of(stream(39_999)), Some(Some(V1)));
     assert_eq!(log.version_of(stream(0)), None);
@@ -186,11 +198,11 @@
     log.begin(stream(1), service(), Some(V1), "i-1".into(), now);
     log.begin(stream(2), service(), Some(V1), "i-1".into(), later);
     log.begin(stream(3), service(), Some(V1), "i-2".into(), later);
-    let revision = log.revision();
+    write(&mut log);
     log.record_version_change("i-1", later);
     let versions = [1, 2, 3].map(|number| log.version_of(stream(number)));
     assert_eq!(versions, [Some(Some(V1)), Some(None), Some(Some(V1))]);
-    assert!(log.revision() > revision, "it is written again");
+    assert!(log.due_records(|_| None).is_some(), "it is written again");
 }
 
 #[test]
@@ -208,7 +220,7 @@
         let markers: HashMap<ServiceId, Marker> =
             marker.into_iter().map(|marker| (service(), marker)).collect();
         let recorded = RecordedStreams::new(2, markers, records.clone());
-        [1, 2, 3, 4, 5].map(|number| recorded.origin(stream(number), service()))
+        [1, 2, 3, 4, 5].map(|number| recorded.origin(Some(stream(number)), service()))
     };
     let recorded = [
         Origin::Recorded(V1),
@@ -224,6 +236,44 @@
     assert_eq!(origins(Some(only(V1, 2)))[..4], recorded[..4]);
 }
 
+#[test]
+fn a_stream_that_nobody_names_goes_on_although_there_are_several_versions() {
+    let origin = |marker| {
+        let recorded = RecordedStreams::new(0, [(service(), marker)].into(), []);
+        recorded.origin(None, service())
+    };
+    assert_eq!(origin(only(V1, 0)), Origin::Only(V1));
+    assert_eq!(origin(several(0)), Origin::Unknown);
+}
+
+/// Guards against records that the store has lost and nobody writes again.
+#[test]
+fn records_are_not_written_again_after_their_loss_or_written_though_there_is_nothing_new() {
+    let now = Instant::now();
+    let mut log = StreamLog::default();
+    assert_eq!(log.due_records(|_| None), None);
+    log.begin(stream(1), service(), Some(V1), "i-1".into(), now);
+    // What begins while records are under way is due afterwards.
+    let under_way = log.due_records(|_| None).expect("records are due");
+    log.begin(stream(2), service(), Some(V1), "i-1".into(), now);
+    log.record_written(&under_way);
+    assert!(log.due_records(|_| None).is_some());
+    write(&mut log);
+    log.complete(stream(2));
+    assert_eq!(log.due_records(|_| None), None, "a stream that has ended can stay in a record");
+    log.record_loss();
+    assert!(log.due_records(|_| None).is_some());
+}
+
+/// Load pattern: 400 gateways before a store that takes some thousand writes a second.
+#[test]
+fn the_writes_of_all_gateways_grow_with_their_number() {
+    for gateway_count in [1, 4, 103, 400] {
+        let per_second = gateway_count as f64 / record_interval(gateway_count).as_secs_f64();
+        assert!(per_second <= 200.0, "{per_second} writes a second of {gateway_count} gateways");
+    }
+}
+
 #[test]
 fn streams_of_one_route_prefer_one_service_or_differ_between_gateways() {
     let samples: Vec<f64> = (0..1_000).map(|number| stream(number).sample()).collect();
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -56,6 +56,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    request_count: u32,
 }
 
 /// Opens a connection. Must be called from within a `LocalSet`, because the task that drives the
@@ -74,7 +75,7 @@
             debug!("connection.ended to={address} error={error}");
         }
     });
-    Ok(Connection { sender })
+    Ok(Connection { sender, request_count: 0 })
 }
 
 fn set_socket_options(stream: &TcpStream, timeouts: Timeouts) {
@@ -95,6 +96,7 @@
     /// Sends a request and waits for the head of its response. Dropping the future before that
     /// closes the connection.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<LinkResponse, LinkError> {
+        self.request_count = self.request_count.saturating_add(1);
         self.sender.try_send_request(request).await.map_err(|mut failed| {
             let unsent = failed.take_message().is_some();
             let reason = failed.error().to_string();
@@ -102,6 +104,11 @@
         })
     }
 
+    /// Number of requests that have been sent on the connection.
+    pub fn request_count(&self) -> u32 {
+        self.request_count
+    }
+
     /// Returns whether the connection can send a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
