Quarantine causes under which upstreams end within their answers

Cause: an attempt was evidence only if it broke before the first event, and two events cleared its causes even when they came from two engines that had both ended. The same on related paths: an answer without a length looked complete when its engine ended, and broken bodies of plain services were no evidence.

Change: when a connection breaks within an answer, a new connection to the upstream is tried. Only an upstream that has ended refuses it; resets and upstreams that break off answers but live on accept it and give no evidence (tested). Only a whole answer of one upstream, or one that goes on for 2 s, clears causes.

--- a/components/gateway/src/crash_quarantine/mod.rs
+++ b/components/gateway/src/crash_quarantine/mod.rs
@@ -6,8 +6,9 @@
 //! asked for so often that they run beside the crashing one at several ends. Meanwhile upstreams
 //! also end for other reasons, many at once.
 //!
-//! An attempt that breaks before its response begins is evidence against its request, and against
-//! each shared part of its prompt; an answer clears them. A cause is quarantined when attempts with
+//! An attempt that breaks before its response begins, or within it when its upstream has ended, is
+//! evidence against its request, and against each shared part of its prompt; an answer of one
+//! upstream clears them. A cause is quarantined when attempts with
 //! it have broken at several upstreams, one after the other and without an answer in between that
 //! would have cleared it. Gateways pool evidence in their digests. While requests with a quarantined
 //! cause still come, one gateway sends one of them now and then, at growing intervals; if an
@@ -16,6 +17,7 @@
 
 mod cause;
 mod news;
+mod run;
 
 use std::collections::{HashMap, VecDeque};
 use std::num::NonZeroUsize;
@@ -27,6 +29,7 @@
 
 pub use cause::{Cause, PartId};
 pub use news::{BrokenAttempt, QuarantineNews, QuarantinedCause};
+pub use run::{Run, RunResult};
 
 /// Number of upstreams at which attempts with a cause must have broken: one more than two unrelated
 /// failures that meet by chance.
@@ -171,8 +174,8 @@
         decision
     }
 
-    /// Records an attempt of this gateway that broke before its response began. Returns the causes
-    /// that are quarantined by it.
+    /// Records an attempt of this gateway that is evidence against its causes; `now` is when it
+    /// broke. Returns the causes that are quarantined by it.
     pub fn record_broken(
         &mut self,
         causes: impl IntoIterator<Item = Cause>,
@@ -193,8 +196,8 @@
         found
     }
 
-    /// Records that an upstream has answered a request, or goes on answering it after its first
-    /// event. Returns the causes that are no longer quarantined.
+    /// Records that an upstream has answered a request, or has gone on answering it for a while.
+    /// Returns the causes that are no longer quarantined.
     pub fn record_answered(
         &mut self,
         causes: impl IntoIterator<Item = Cause>,
--- a/components/gateway/src/crash_quarantine/news.rs
+++ b/components/gateway/src/crash_quarantine/news.rs
@@ -4,7 +4,7 @@
 
 use crate::model::UpstreamId;
 
-/// An attempt that broke before its response began.
+/// An attempt that is evidence against a cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BrokenAttempt<C> {
     /// What it may have broken under.
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming as Body;
@@ -28,7 +29,7 @@
 const MAX_IDLE_NON_RETRYABLE: Duration = Duration::from_secs(2);
 
 /// Time that an idle connection is kept if the upstream does not state its idle timeout.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+pub(super) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Safety margin subtracted from an upstream's idle timeout, which it states in whole seconds.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
@@ -49,6 +50,18 @@
     pub(super) connection: Connection,
 }
 
+impl StartedResponse {
+    /// Whether the response has another end than that of its connection.
+    pub(super) fn is_framed(&self) -> bool {
+        is_framed(&self.headers)
+    }
+}
+
+/// Whether a response has a length or comes in chunks.
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Result of sending a request to an upstream, up to the head of the response. The body has not
 /// been read yet.
 pub(super) enum SendResult {
@@ -130,9 +143,11 @@
         };
         match response {
             Ok(response) => self.check_response(admitted, slot, connection, response),
-            Err(LinkError::NotSent(_)) => SendResult::Ended(AttemptResult::NotSent),
+            Err(LinkError::NotSent(_) | LinkError::Refused(_)) => {
+                SendResult::Ended(AttemptResult::NotSent)
+            }
             Err(LinkError::Unknown(reason)) => {
-                self.record_broken_off(admitted, slot);
+                self.record_crash(admitted.causes(), slot.upstream().id(), self.clock.now());
                 self.record_failure(admitted, slot, &reason);
                 SendResult::Ended(AttemptResult::Unknown)
             }
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -1,6 +1,7 @@
 //! Serves one admitted request: acquires slots, sends attempts to upstreams, and retries where that
 //! is safe.
 
+use std::iter;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,13 +9,15 @@
 use log::info;
 
 use super::admission::{AdmittedRequest, clamp_retry_after, max_retry_after};
-use super::attempt::{SendResult, StartedResponse, read_body};
+use super::attempt::{SendResult, StartedResponse, is_framed, read_body};
+use super::crash_checks::{AnswerEnd, check_for_crash};
 use super::quarantine::QuarantineCheck;
 use super::relay::{Relay, RelayStart};
 use super::response::CallerResponse;
 use super::slot_guard::SlotGuard;
 use super::slots;
 use super::state::{Shared, SharedRef};
+use crate::crash_quarantine::Cause;
 use crate::model::UpstreamId;
 use crate::retry::{AttemptResult, Fallback, NextStep, RetryState, decide_next_step};
 use crate::scheduler::{AttemptOutcome, Job, RejectionReason};
@@ -206,7 +209,12 @@
             let failed = status.is_server_error();
             shared.keep_connection(slot, connection, &metadata);
             slot.release(if failed { AttemptOutcome::Failed } else { AttemptOutcome::Served });
-            shared.record_response(admitted, status);
+            if is_framed(&headers) || failed {
+                shared.record_response(admitted, status);
+            } else {
+                let causes = iter::once(Cause::Request(admitted.hash()));
+                check_for_crash(shared, causes, slot.upstream(), AnswerEnd::Unframed);
+            }
             let result = AttemptResult::Answered { status: status.as_u16() };
             AttemptEnd::Ended(result, Some(CallerResponse::Complete { status, headers, body }))
         }
@@ -215,6 +223,8 @@
             if admitted.time_left(shared.clock.now()).is_zero() {
                 AttemptEnd::DeadlinePassed
             } else {
+                let causes = admitted.causes();
+                check_for_crash(shared, causes, slot.upstream(), AnswerEnd::Broken);
                 AttemptEnd::Ended(AttemptResult::Unknown, None)
             }
         }
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -7,6 +7,7 @@
 mod brokering;
 mod caller_request;
 mod callers;
+mod crash_checks;
 mod directory;
 mod dispatch;
 mod elections;
--- a/components/gateway/src/runtime/quarantine.rs
+++ b/components/gateway/src/runtime/quarantine.rs
@@ -1,17 +1,17 @@
 //! Applies the quarantine of requests and prompt parts, and tells it the results of attempts.
 
 use std::iter;
+use std::time::Instant;
 
 use errors::{Refusal, ResultCode};
 use http::StatusCode;
 use log::{info, warn};
 
 use super::admission::{AdmittedRequest, clamp_retry_after};
-use super::slot_guard::SlotGuard;
 use super::state::Shared;
 use crate::broker::ElectionKey;
 use crate::crash_quarantine::{Cause, QuarantineDecision, QuarantineNews};
-use crate::model::PeerId;
+use crate::model::{PeerId, Upstream, UpstreamId};
 
 /// Whether a request that may be sent tests a quarantined cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,10 +22,12 @@
     Tests,
 }
 
-/// What a request may make upstreams end by: the shared parts of its prompt, and all of it.
-fn causes(admitted: &AdmittedRequest) -> impl Iterator<Item = Cause> + '_ {
-    let parts = admitted.metadata.shared_parts().map(Cause::PromptPart);
-    parts.chain(iter::once_with(|| Cause::Request(admitted.hash())))
+impl AdmittedRequest {
+    /// What the request may make upstreams end by: the shared parts of its prompt, and all of it.
+    pub(super) fn causes(&self) -> impl Iterator<Item = Cause> + '_ {
+        let parts = self.metadata.shared_parts().map(Cause::PromptPart);
+        parts.chain(iter::once_with(|| Cause::Request(self.hash())))
+    }
 }
 
 impl Shared {
@@ -38,7 +40,7 @@
             self.ranked_gateways(ElectionKey::Cause(cause)).first() == Some(&self.process_id)
         };
         let now = self.clock.now();
-        let decision = self.crash_quarantine.borrow_mut().decide(causes(admitted), is_tester, now);
+        let decision = self.crash_quarantine.borrow_mut().decide(admitted.causes(), is_tester, now);
         let id = &admitted.metadata.attempt_id;
         match decision {
             QuarantineDecision::Send => Ok(QuarantineCheck::Unquarantined),
@@ -61,24 +63,29 @@
         }
     }
 
-    /// Records an attempt whose upstream broke off before its response began: it may have ended
-    /// under the request.
-    pub(super) fn record_broken_off(&self, admitted: &AdmittedRequest, slot: &SlotGuard) {
-        if slot.has_begun() {
-            return;
-        }
-        let upstream = slot.upstream().id();
-        let now = self.clock.now();
-        let found =
-            self.crash_quarantine.borrow_mut().record_broken(causes(admitted), upstream, now);
+    /// Records an attempt under which its upstream ended, or broke off before its response began
+    /// and so may have ended.
+    pub(super) fn record_crash(
+        &self,
+        causes: impl IntoIterator<Item = Cause>,
+        upstream: UpstreamId,
+        at: Instant,
+    ) {
+        let found = self.crash_quarantine.borrow_mut().record_broken(causes, upstream, at);
         for cause in found {
             warn!("quarantine.begun cause={cause} by=own");
         }
     }
 
-    /// Records that an engine goes on answering a request after its first event.
+    /// Whether an upstream is announced and does not leave, so that it has no reason to end.
+    pub(super) fn is_serving(&self, upstream: &Upstream) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(&upstream.id()).is_some_and(|announced| !announced.draining)
+    }
+
+    /// Records that an engine has survived the beginning of its answer to a request.
     pub(super) fn record_answered(&self, admitted: &AdmittedRequest) {
-        self.record_sound(causes(admitted));
+        self.record_sound(admitted.causes());
     }
 
     /// Records a complete response that is not a stream. One with a server's error does not show
@@ -90,7 +97,8 @@
         }
     }
 
-    fn record_sound(&self, causes: impl Iterator<Item = Cause>) {
+    /// Records that upstreams survive requests with these causes.
+    pub(super) fn record_sound(&self, causes: impl Iterator<Item = Cause>) {
         let now = self.clock.now();
         let cleared = self.crash_quarantine.borrow_mut().record_answered(causes, now);
         for cause in cleared {
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -18,11 +18,13 @@
 use super::admission::AdmittedRequest;
 use super::attempt::{SendResult, StartedResponse};
 use super::callers::OpenRequest;
+use super::crash_checks::{AnswerEnd, check_for_crash};
 use super::dispatch::Attempts;
 use super::log_fields::or_none;
 use super::slot_guard::SlotGuard;
 use super::slots;
 use super::state::SharedRef;
+use crate::crash_quarantine::{Run, RunResult};
 use crate::events::{EventSplitter, count_events, last_event_id};
 use crate::model::VersionId;
 use crate::retry::AttemptResult;
@@ -32,9 +34,6 @@
 /// times longer for its next event.
 const RESUME_WAIT_LIMIT: Duration = Duration::from_millis(500);
 
-/// Number of events from which an engine counts as having survived the beginning of its answer.
-const ANSWERED_EVENTS: u32 = 2;
-
 /// An event stream that is being relayed. Dropping it closes the connection to the upstream.
 pub(super) struct Relay {
     shared: SharedRef,
@@ -45,6 +44,7 @@
     last_id: Option<u64>,
     first_events: Option<Bytes>,
     attempts: Attempts,
+    run: Run,
     event_count: u32,
     first_event_at: Option<Instant>,
     longest_pause: Duration,
@@ -118,6 +118,7 @@
                 count: attempts.count,
                 upstreams_used: attempts.upstreams_used + 1,
             },
+            run: Run::default(),
             event_count: 0,
             first_event_at: None,
             longest_pause: Duration::ZERO,
@@ -138,8 +139,7 @@
             }
             ReadResult::Broken(reason) => {
                 relay.upstream_response = None;
-                relay.shared.record_broken_off(&relay.admitted, &relay.slot);
-                relay.shared.record_failure(&relay.admitted, &mut relay.slot, &reason);
+                relay.record_broken_run(&reason);
                 RelayStart::Broken
             }
             ReadResult::DeadlinePassed => {
@@ -187,8 +187,7 @@
                 }
             };
             self.upstream_response = None;
-            self.shared.record_broken_off(&self.admitted, &self.slot);
-            self.shared.record_failure(&self.admitted, &mut self.slot, &reason);
+            self.record_broken_run(&reason);
             if !self.resume().await {
                 self.log_stream_end("broken");
                 return Some(Err(BrokenStream));
@@ -225,9 +224,8 @@
     fn record_events(&mut self, events: &[u8]) {
         self.last_id = last_event_id(events).or(self.last_id);
         let count = count_events(events);
-        let before = self.event_count;
         self.event_count += count;
-        if before < ANSWERED_EVENTS && self.event_count >= ANSWERED_EVENTS {
+        if self.run.record_events(self.shared.clock.now()) == RunResult::Answered {
             self.shared.record_answered(&self.admitted);
         }
         if self.first_event_at.is_none() {
@@ -239,8 +237,31 @@
         }
     }
 
+    /// Records that the upstream's connection broke.
+    fn record_broken_run(&mut self, reason: &str) {
+        let upstream = self.slot.upstream();
+        if self.run.has_begun() {
+            check_for_crash(&self.shared, self.admitted.causes(), upstream, AnswerEnd::Broken);
+        } else {
+            let now = self.shared.clock.now();
+            self.shared.record_crash(self.admitted.causes(), upstream.id(), now);
+        }
+        self.shared.record_failure(&self.admitted, &mut self.slot, reason);
+    }
+
+    fn record_complete_run(&mut self, is_framed: bool) {
+        if !is_framed {
+            let upstream = self.slot.upstream();
+            let causes = self.admitted.causes();
+            check_for_crash(&self.shared, causes, upstream, AnswerEnd::Unframed);
+        } else if self.run.record_completion() == RunResult::Answered {
+            self.shared.record_answered(&self.admitted);
+        }
+    }
+
     fn complete(&mut self) {
         if let Some(response) = self.upstream_response.take() {
+            self.record_complete_run(response.is_framed());
             self.shared.keep_connection(&self.slot, response.connection, &response.metadata);
         }
         self.slot.release(AttemptOutcome::Served);
@@ -248,9 +269,6 @@
         if let Some(stream) = self.admitted.stream {
             self.shared.complete_stream(stream);
         }
-        if (1..ANSWERED_EVENTS).contains(&self.event_count) {
-            self.shared.record_answered(&self.admitted);
-        }
         self.log_stream_end("complete");
     }
 
@@ -294,6 +312,7 @@
     /// whether that succeeded.
     async fn resume(&mut self) -> bool {
         self.splitter.reset();
+        self.run = self.run.resume();
         let admitted = self.admitted.clone();
         while self.attempts.upstreams_used < admitted.route.max_upstreams {
             self.attempts.excluded.push(self.slot.upstream().id());
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::Gateway;
+use super::crash_checks::CrashChecks;
 use super::metrics::Metrics;
 use super::stream_versions::StreamVersions;
 use crate::Settings;
@@ -128,6 +129,8 @@
     pub(super) has_rates: Cell<bool>,
     /// Requests and prompt parts under which upstreams end.
     pub(super) crash_quarantine: RefCell<CrashQuarantine>,
+    /// Answers that ended with their connections.
+    pub(super) crash_checks: CrashChecks,
     /// Versions that began streams.
     pub(super) stream_versions: StreamVersions,
     /// What this gateway knows from the store, for others that know less.
@@ -191,6 +194,7 @@
             upstream_limits: RefCell::default(),
             has_rates: Cell::new(false),
             crash_quarantine: RefCell::default(),
+            crash_checks: CrashChecks::default(),
             stream_versions: StreamVersions::default(),
             store_copy: RefCell::default(),
             encoded_changes: RefCell::default(),
--- a/components/gateway/tests/crash_quarantine/main.rs
+++ b/components/gateway/tests/crash_quarantine/main.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::crash_quarantine::{Cause, CrashQuarantine, QuarantineDecision};
+use gateway::crash_quarantine::{Cause, CrashQuarantine, QuarantineDecision, Run, RunResult};
 use gateway::model::{RequestHash, UpstreamId};
 
 const COMMON: Cause = Cause::PromptPart(1);
@@ -168,3 +168,24 @@
     assert_eq!(decide(&mut quarantine, COMMON, now), QuarantineDecision::Send);
     assert!(is_refused(&mut quarantine, crashing, now));
 }
+
+/// Guards against the rest of a resumed stream that clears the causes under which upstreams end
+/// later in their answers.
+#[test]
+fn completed_rest_of_an_answer_clears_its_causes() {
+    let start = Instant::now();
+    let mut run = Run::default();
+    assert_eq!(run.record_events(start), RunResult::Undecided);
+    assert!(run.has_begun());
+    let mut rest = run.resume();
+    assert_eq!(rest.record_events(start + ms(100)), RunResult::Undecided);
+    assert_eq!(rest.record_completion(), RunResult::Undecided);
+    // One that goes on for long has survived all the same.
+    let mut rest = rest.resume();
+    rest.record_events(start + ms(200));
+    assert_eq!(rest.record_events(start + ms(2_200)), RunResult::Answered);
+    // A run that begins anew after one without events is whole.
+    let mut whole = Run::default().resume();
+    whole.record_events(start);
+    assert_eq!(whole.record_completion(), RunResult::Answered);
+}
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -1,6 +1,7 @@
 //! A single HTTP/1.1 client connection.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
 pub enum LinkError {
     /// No part of the request was sent.
     NotSent(String),
+    /// The host answers, but no process listens at the address. No part of the request was sent.
+    Refused(String),
     /// The request may have reached the server.
     Unknown(String),
 }
@@ -44,7 +47,9 @@
 impl fmt::Display for LinkError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            LinkError::NotSent(reason) => write!(f, "not sent: {reason}"),
+            LinkError::NotSent(reason) | LinkError::Refused(reason) => {
+                write!(f, "not sent: {reason}")
+            }
             LinkError::Unknown(reason) => write!(f, "outcome unknown: {reason}"),
         }
     }
@@ -65,7 +70,7 @@
     let stream = tokio::time::timeout(timeouts.connect, TcpStream::connect(address))
         .await
         .map_err(|_| LinkError::NotSent(format!("{address}: connect timed out")))?
-        .map_err(|error| LinkError::NotSent(format!("{address}: {error}")))?;
+        .map_err(|error| connect_error(address, &error))?;
     set_socket_options(&stream, timeouts);
     let (sender, driver) = http1::handshake(TokioIo::new(stream))
         .await
@@ -78,6 +83,14 @@
     Ok(Connection { sender, request_count: 0 })
 }
 
+fn connect_error(address: SocketAddr, error: &io::Error) -> LinkError {
+    let reason = format!("{address}: {error}");
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => LinkError::Refused(reason),
+        _ => LinkError::NotSent(reason),
+    }
+}
+
 fn set_socket_options(stream: &TcpStream, timeouts: Timeouts) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
