Bound the bytes that a gateway holds for all its requests

Callers saw (another operator's report): a faulty worker sends bytes without end, the process that called it runs out of memory, and the requests of other callers end with it.

Cause: bodies, events and heads were bounded for each request, and callers' bodies too, but not their sum.

Evidence, before: 60 faulty upstreams and 240 requests take the process to 958 MB of 110 MB; of twelve bodies of 4 MB that wait for a slot none is refused.

Change: a quarter of the process's memory is the budget of what is held, in allocated bytes. A request reserves room for its body and a small response, or is refused as not run before it is passed on. Larger responses share the rest, one upstream at most a quarter of the budget. Heads of responses are limited to 64 KiB.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -52,6 +52,11 @@
         !self.partial.is_empty()
     }
 
+    /// Length of the incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the incomplete event.
     pub fn reset(&mut self) {
         self.partial.clear();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod allowance;
 pub mod broker;
+pub mod byte_budget;
 pub mod crash_quarantine;
 pub mod customers;
 pub mod events;
--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -16,6 +16,7 @@
 use super::state::Shared;
 use super::stream_versions::StreamTarget;
 use crate::allowance::{CustomerId, request_cost};
+use crate::byte_budget::HeldBytes;
 use crate::model::{
     Customer, RequestContent, RequestHash, RequestMetadata, Route, ServiceId, VersionId,
 };
@@ -27,7 +28,7 @@
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Retry delay given where only this process cannot serve: callers' retries reach other gateways.
-const OTHER_GATEWAY_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub(super) const OTHER_GATEWAY_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Time after the start of a planned stop for which requests are admitted: the balancer stops
 /// sending requests after two failed checks, a second apart.
@@ -88,6 +89,8 @@
     /// Units that were charged to the customer's allowance.
     charged_units: f64,
     hash: OnceCell<RequestHash>,
+    /// Room for its body and a small response.
+    _held: HeldBytes,
 }
 
 impl AdmittedRequest {
@@ -195,7 +198,7 @@
             self.charge_customer(customer.as_deref(), &metadata, max_wait, deadline).await?;
         let tier = customer.as_ref().and_then(|customer| customer.tier).unwrap_or(route.tier);
         let priority = Priority { tier, route_tier: route.tier };
-        let IncomingRequest { method, target, headers, body, .. } = incoming;
+        let IncomingRequest { method, target, headers, body, held, .. } = incoming;
         Ok(AdmittedRequest {
             method,
             target,
@@ -215,6 +218,7 @@
             deadline,
             charged_units,
             hash: OnceCell::new(),
+            _held: held,
         })
     }
 
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -14,6 +14,7 @@
 use super::admission::AdmittedRequest;
 use super::slot_guard::SlotGuard;
 use super::state::{Shared, UPSTREAM_TIMEOUTS};
+use crate::byte_budget::HeldBytes;
 use crate::header_codec::AttemptMetadata;
 use crate::model::{RequestMetadata, ResponseMetadata};
 use crate::response_match::belongs_to_request;
@@ -269,9 +270,14 @@
 }
 
 /// Reads the complete body of a response, until the request's deadline.
-pub(super) async fn read_body(admitted: &AdmittedRequest, body: Body) -> Result<Bytes, LinkError> {
+pub(super) async fn read_body(
+    admitted: &AdmittedRequest,
+    body: Body,
+    held: &mut HeldBytes,
+) -> Result<Bytes, LinkError> {
     let deadline = TokioInstant::from_std(admitted.deadline);
-    timeout_at(deadline, link::read_body(body, RESPONSE_LIMIT_BYTES))
+    let hold = |length_bytes| held.set_length(length_bytes).map_err(|error| error.to_string());
+    timeout_at(deadline, link::read_held_body(body, RESPONSE_LIMIT_BYTES, hold))
         .await
         .unwrap_or_else(|_| Err(LinkError::Unknown("deadline passed".to_owned())))
 }
--- a/components/gateway/src/runtime/callers.rs
+++ b/components/gateway/src/runtime/callers.rs
@@ -228,7 +228,9 @@
     let arrived = shared.clock.now();
     let limits = shared.caller_limits();
     let incoming =
-        match caller_request::read_request(request, limits.header_bytes, limits.body_bytes).await {
+        match caller_request::read_request(request, limits, shared.byte_budget.admit_request())
+            .await
+        {
             Ok(incoming) => incoming,
             Err(refusal) => {
                 info!(
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -13,7 +13,7 @@
 use super::crash_checks::{AnswerEnd, check_for_crash};
 use super::quarantine::QuarantineCheck;
 use super::relay::{Relay, RelayStart};
-use super::response::CallerResponse;
+use super::response::{CallerResponse, HeldBody};
 use super::slot_guard::SlotGuard;
 use super::slots;
 use super::state::{Shared, SharedRef};
@@ -204,7 +204,8 @@
 ) -> AttemptEnd {
     slot.record_first_event();
     let StartedResponse { status, headers, metadata, body, connection } = started;
-    match read_body(admitted, body).await {
+    let mut held = shared.byte_budget.begin_response(slot.upstream().id());
+    match read_body(admitted, body, &mut held).await {
         Ok(body) => {
             let failed = status.is_server_error();
             shared.keep_connection(slot, connection, &metadata);
@@ -216,6 +217,7 @@
                 check_for_crash(shared, causes, slot.upstream(), AnswerEnd::Unframed);
             }
             let result = AttemptResult::Answered { status: status.as_u16() };
+            let body = HeldBody::new(body, held);
             AttemptEnd::Ended(result, Some(CallerResponse::Complete { status, headers, body }))
         }
         Err(error) => {
--- a/components/gateway/src/runtime/internal_server.rs
+++ b/components/gateway/src/runtime/internal_server.rs
@@ -28,6 +28,7 @@
         let (parts, requests) = self.crash_quarantine.borrow().quarantined_counts();
         self.metrics.set_quarantined(parts, requests);
         self.metrics.set_leaving_upstreams(self.upstream_notices.borrow().leaving_count());
+        self.metrics.set_held_bytes(self.byte_budget.held_bytes());
         self.metrics.set_limited_upstreams(self.upstream_limits.borrow().limits().count());
         Response::build(StatusCode::OK)
             .content_type("text/plain; version=0.0.4")
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -24,6 +24,7 @@
     quarantined_requests: IntGauge,
     leaving_upstreams: IntGauge,
     limited_upstreams: IntGauge,
+    held_bytes: IntGauge,
     slot_replies: IntCounterVec,
     pub(super) upstream_connections: IntCounter,
 }
@@ -70,6 +71,7 @@
             gauge("leaving_upstreams", "Upstreams that have said that they leave")?;
         let limited_upstreams =
             gauge("limited_upstreams", "Upstreams that name a limit on their requests")?;
+        let held_bytes = gauge("held_bytes", "Bytes held or reserved for requests and responses")?;
         for gauge in [
             &configuration_version,
             &open_requests,
@@ -79,6 +81,7 @@
             &quarantined_requests,
             &leaving_upstreams,
             &limited_upstreams,
+            &held_bytes,
         ] {
             registry.register(Box::new(gauge.clone()))?;
         }
@@ -96,6 +99,7 @@
             quarantined_requests,
             leaving_upstreams,
             limited_upstreams,
+            held_bytes,
             slot_replies,
             upstream_connections,
         })
@@ -127,6 +131,10 @@
         self.limited_upstreams.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn set_held_bytes(&self, bytes: usize) {
+        self.held_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_configuration_version(&self, version: u64) {
         self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -24,6 +24,7 @@
 use super::slot_guard::SlotGuard;
 use super::slots;
 use super::state::SharedRef;
+use crate::byte_budget::HeldBytes;
 use crate::crash_quarantine::{Run, RunResult};
 use crate::events::{EventSplitter, count_events, last_event_id};
 use crate::model::VersionId;
@@ -41,6 +42,8 @@
     slot: SlotGuard,
     upstream_response: Option<StartedResponse>,
     splitter: EventSplitter,
+    /// Room for the incomplete event.
+    held: HeldBytes,
     last_id: Option<u64>,
     first_events: Option<Bytes>,
     attempts: Attempts,
@@ -107,6 +110,7 @@
     ) -> RelayStart {
         let mut relay = Box::new(Relay {
             last_id: admitted.metadata.resume_after,
+            held: shared.byte_budget.begin_response(slot.upstream().id()),
             shared,
             admitted,
             slot,
@@ -209,7 +213,11 @@
                 Ok(Some(Ok(frame))) => frame,
             };
             let Ok(bytes) = frame.into_data() else { continue };
-            match self.splitter.push(&bytes) {
+            let pushed = self.splitter.push(&bytes);
+            if let Err(error) = self.held.set_length(self.splitter.partial_bytes()) {
+                return ReadResult::Broken(error.to_string());
+            }
+            match pushed {
                 Ok(Some(events)) => {
                     self.record_events(&events);
                     return ReadResult::Events(events);
@@ -328,6 +336,7 @@
             let Ok(slot) = slots::acquire(&self.shared, self.resume_job(version)).await else {
                 return false;
             };
+            self.held = self.shared.byte_budget.begin_response(slot.upstream().id());
             self.slot = slot;
             let result = self.shared.send_request(&admitted, &mut self.slot, self.last_id).await;
             info!(
--- a/components/gateway/src/runtime/response.rs
+++ b/components/gateway/src/runtime/response.rs
@@ -1,15 +1,19 @@
 //! Builds the HTTP responses that callers get.
 
+use std::error::Error;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use errors::Refusal;
 use http::{HeaderMap, HeaderName, StatusCode, header};
-use ntex::http::body::Body;
+use ntex::http::body::{Body, BodySize, MessageBody};
 use ntex::http::{Response, ResponseBuilder};
 
 use super::callers::OpenRequest;
 use super::relay::Relay;
+use crate::byte_budget::HeldBytes;
 
 /// Response to a caller.
 pub(super) enum CallerResponse {
@@ -20,7 +24,7 @@
         /// Headers of the response.
         headers: HeaderMap,
         /// Body of the response.
-        body: Bytes,
+        body: HeldBody,
     },
     /// Event stream of an upstream, from its first event on.
     Stream {
@@ -33,6 +37,40 @@
     },
 }
 
+/// Part of a body that is passed to the server at a time. The server asks for the next one when the
+/// caller has taken most of what it was given.
+const BODY_CHUNK_BYTES: usize = 16 << 10;
+
+/// Complete body of a response. Its bytes count as held until the server has been given all of them.
+pub(super) struct HeldBody {
+    rest: Bytes,
+    length: u64,
+    _held: HeldBytes,
+}
+
+impl HeldBody {
+    pub(super) fn new(body: Bytes, held: HeldBytes) -> HeldBody {
+        HeldBody { length: body.len() as u64, rest: body, _held: held }
+    }
+}
+
+impl MessageBody for HeldBody {
+    fn size(&self) -> BodySize {
+        if self.length == 0 { BodySize::Empty } else { BodySize::Sized(self.length) }
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<ntex::util::Bytes, Rc<dyn Error>>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let chunk = self.rest.split_to(BODY_CHUNK_BYTES.min(self.rest.len()));
+        Poll::Ready(Some(Ok(ntex::util::Bytes::copy_from_slice(&chunk))))
+    }
+}
+
 /// Hop-by-hop headers, and those that the server writes itself.
 const UNFORWARDED_HEADERS: [HeaderName; 10] = [
     header::CONNECTION,
@@ -72,9 +110,7 @@
         builder.force_close();
     }
     match response {
-        CallerResponse::Complete { body, .. } => {
-            builder.body(ntex::util::Bytes::copy_from_slice(&body))
-        }
+        CallerResponse::Complete { body, .. } => builder.body(Body::from_message(body)),
         CallerResponse::Stream { relay, .. } => {
             builder.streaming(relay.into_event_stream(open_request))
         }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -22,6 +22,7 @@
 use crate::Settings;
 use crate::allowance::{BucketOwner, CreditReply, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
+use crate::byte_budget::ByteBudget;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::customers::CustomerKeys;
 use crate::freshness::Freshness;
@@ -83,6 +84,7 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) metrics: Metrics,
     pub(super) pool: Pool,
+    pub(super) byte_budget: Rc<ByteBudget>,
     pub(super) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
     pub(super) freshness: Cell<Freshness>,
     pub(super) key_confirmation: Cell<KeyConfirmation>,
@@ -170,6 +172,7 @@
             reachability: RefCell::default(),
             upstreams: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limit, now)),
+            byte_budget: ByteBudget::new(settings.held_limit_bytes),
             settings: RefCell::new(settings),
             process_id,
             header_codec,
@@ -289,6 +292,7 @@
 
     pub(super) fn reload(&self, settings: Settings) {
         self.retry_budget.borrow_mut().set_limit(settings.retry_limit);
+        self.byte_budget.set_limit(settings.held_limit_bytes);
         *self.settings.borrow_mut() = settings;
     }
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -29,6 +29,8 @@
     /// Time after the last configuration confirmation for which API keys are honoured; `None` for
     /// no limit.
     pub key_validity: Option<Duration>,
+    /// Bytes of requests and responses that may be held at a time.
+    pub held_limit_bytes: usize,
     /// Maximum duration of a planned stop.
     pub grace_period: Duration,
 }
--- /dev/null
+++ b/components/gateway/tests/byte_budget.rs
@@ -0,0 +1,36 @@
+//! Budget of the bytes that a gateway holds.
+
+use gateway::byte_budget::{BudgetExceeded, ByteBudget};
+use gateway::model::UpstreamId;
+
+const FAULTY: UpstreamId = UpstreamId(1);
+const SOUND: UpstreamId = UpstreamId(2);
+
+/// Load pattern: one upstream sends without end to all the requests that it is sent.
+#[test]
+fn one_faulty_upstream_leaves_no_room_for_large_responses_of_others() {
+    let budget = ByteBudget::new(8 << 20);
+    let mut endless: Vec<_> = (0..10).map(|_| budget.begin_response(FAULTY)).collect();
+    let grown = endless.iter_mut().filter_map(|held| held.set_length(1 << 20).ok()).count();
+    assert_eq!(grown, 2, "a quarter of the budget");
+    let mut small = budget.begin_response(FAULTY);
+    assert_eq!(small.set_length(4 << 10), Ok(()), "its request has reserved room for it");
+    let mut large = budget.begin_response(SOUND);
+    assert_eq!(large.set_length(1 << 20), Ok(()));
+    drop((endless, small, large));
+    assert_eq!(budget.held_bytes(), 0);
+}
+
+/// Load pattern: callers' large bodies wait for slots.
+#[test]
+fn request_is_taken_although_there_is_no_room_for_it() {
+    let budget = ByteBudget::new(1 << 20);
+    let mut waiting = budget.admit_request().expect("room");
+    assert_eq!(waiting.set_length((1 << 20) - (64 << 10)), Ok(()));
+    let mut next = budget.admit_request().expect("room for a small one");
+    assert_eq!(next.set_length(64 << 10), Err(BudgetExceeded));
+    let small: Vec<_> = std::iter::from_fn(|| budget.admit_request().ok()).take(100).collect();
+    assert!((1..100).contains(&small.len()), "{} small requests", small.len());
+    drop(waiting);
+    assert_eq!(next.set_length(64 << 10), Ok(()));
+}
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -18,6 +18,10 @@
 
 use crate::transfer::{TransferLimits, TransferProgress};
 
+/// Largest head of a response, and largest part of its body that is read at a time: four times the
+/// headers of the largest request on the users' platform.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Response head with a body that has not been read yet.
 pub type LinkResponse = Response<Incoming>;
 
@@ -72,7 +76,9 @@
         .map_err(|_| LinkError::NotSent(format!("{address}: connect timed out")))?
         .map_err(|error| connect_error(address, &error))?;
     set_socket_options(&stream, timeouts);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| LinkError::NotSent(format!("{address}: {error}")))?;
     tokio::task::spawn_local(async move {
@@ -134,9 +140,21 @@
 }
 
 /// Reads a body to its end. Fails if the body is truncated or longer than `limit_bytes`.
-pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
+pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, LinkError> {
+    read_held_body(body, limit_bytes, |_| Ok(())).await
+}
+
+/// Reads a body to its end. Fails if the body is truncated or longer than `limit_bytes`, or if `hold`
+/// refuses the room that it takes so far, with a reason.
+pub async fn read_held_body(
+    mut body: Incoming,
+    limit_bytes: usize,
+    mut hold: impl FnMut(usize) -> Result<(), String>,
+) -> Result<Bytes, LinkError> {
     let mut content = BytesMut::new();
     while let Some(chunk) = next_chunk(&mut body).await? {
+        content.reserve(chunk.len());
+        hold(content.capacity()).map_err(LinkError::Unknown)?;
         append(&mut content, &chunk, limit_bytes)?;
     }
     Ok(content.freeze())
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -9,7 +9,8 @@
 mod transfer;
 
 pub use connection::{
-    Connection, LinkError, LinkResponse, Timeouts, connect, read_body, read_transfer,
+    Connection, LinkError, LinkResponse, Timeouts, connect, read_body, read_held_body,
+    read_transfer,
 };
 pub use pool::Pool;
 pub use transfer::{TransferLimits, TransferProgress};
