Answer every request of a planned stop before the process exits

Cause: requests were admitted for a fixed 2.8 s whatever their time limits, and nothing answered those that were open at the end.

A request with a limit of 2 s was turned away at 4 s although it would have ended in time.

Change: requests are taken if their deadline lies within the stop, or while the balancer still sends some, if they may be repeated or the longest of their route's recent requests would end in time. What is open 0.6 s before the end of the grace period is answered: not run, or 504 if an upstream may have run it. Short grace periods shrink all of this.

--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use errors::{Refusal, ResultCode};
+use errors::{Outcome, Refusal, ResultCode};
 use http::{HeaderMap, Method, Uri};
 use log::info;
 use rand::Rng;
@@ -13,6 +13,7 @@
 
 use super::allowance::AllowanceDecision;
 use super::caller_request::IncomingRequest;
+use super::dispatch::DispatchProgress;
 use super::state::Shared;
 use super::stream_versions::StreamTarget;
 use crate::allowance::{CustomerId, request_cost};
@@ -20,6 +21,7 @@
 use crate::model::{
     Customer, RequestContent, RequestHash, RequestMetadata, Route, ServiceId, VersionId,
 };
+use crate::planned_stop::StopRequest;
 use crate::scheduler::{Job, Priority, RouteId};
 use crate::stream_versions::StreamId;
 
@@ -30,10 +32,6 @@
 /// Retry delay given where only this process cannot serve: callers' retries reach other gateways.
 pub(super) const OTHER_GATEWAY_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// Time after the start of a planned stop for which requests are admitted: the balancer stops
-/// sending requests after two failed checks, a second apart.
-const STOP_ADMISSION_PERIOD: Duration = Duration::from_millis(2_800);
-
 /// A request waits for its customer's bucket owner for at most the route's latency objective
 /// divided by this; the rest of the objective is left for the upstream.
 const OWNER_WAIT_DIVISOR: u32 = 2;
@@ -164,7 +162,6 @@
         let metadata = self.header_codec.decode_request(&incoming.headers).map_err(|reason| {
             Refusal::not_run(ResultCode::MalformedRequest).with_message(reason)
         })?;
-        self.refuse_while_stopping(arrived)?;
         let missing_configuration = || {
             self.not_run_refusal(ResultCode::ConfigurationMissing, self.configuration_retry_after())
         };
@@ -189,6 +186,7 @@
         };
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = arrived + timeout;
+        self.refuse_while_stopping(&route, deadline)?;
         let customer_name = customer.as_ref().map(|customer| customer.name.as_str());
         let StreamTarget { service, stream, version, resumes } =
             self.choose_target(&route, &metadata, customer_name, arrived, timeout).await?;
@@ -228,17 +226,28 @@
         if self.lags_behind_peers() { OTHER_GATEWAY_RETRY_AFTER } else { CONFIGURATION_RETRY_AFTER }
     }
 
-    /// Refuses requests that arrive late in a planned stop. A stopping process serves requests
-    /// until the balancer has stopped sending them, and finishes them; later ones are better served
-    /// by another gateway.
-    fn refuse_while_stopping(&self, arrived: Instant) -> Result<(), Refusal> {
-        let stopping = self.stopping_since.get();
-        if stopping
-            .is_some_and(|since| arrived.saturating_duration_since(since) > STOP_ADMISSION_PERIOD)
-        {
-            return Err(self.not_run_refusal(ResultCode::Draining, OTHER_GATEWAY_RETRY_AFTER));
+    /// Refuses requests that a planned stop does not take; another gateway serves them better.
+    fn refuse_while_stopping(&self, route: &Route, deadline: Instant) -> Result<(), Refusal> {
+        let Some(stop) = self.planned_stop.get() else { return Ok(()) };
+        let request = StopRequest {
+            may_repeat: route.kind.may_retry(),
+            deadline,
+            longest_time: self.served_times.borrow().longest(&route.name),
+        };
+        if stop.admits(&request, self.clock.now()) {
+            Ok(())
+        } else {
+            Err(self.not_run_refusal(ResultCode::Draining, OTHER_GATEWAY_RETRY_AFTER))
+        }
+    }
+
+    /// The last answer to a request that is still open when the process is about to exit.
+    pub(super) fn stop_refusal(&self, progress: &DispatchProgress) -> Refusal {
+        if progress.may_have_run() {
+            Refusal::new(ResultCode::DeadlinePassed, Outcome::Unknown)
+        } else {
+            self.not_run_refusal(ResultCode::Draining, OTHER_GATEWAY_RETRY_AFTER)
         }
-        Ok(())
     }
 
     /// Charges a request's cost to its customer's allowance, and returns the units charged.
--- a/components/gateway/src/runtime/callers.rs
+++ b/components/gateway/src/runtime/callers.rs
@@ -18,6 +18,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::dispatch::DispatchProgress;
 use super::log_fields::or_none;
 use super::relay::BrokenStream;
 use super::response::{build_refusal, build_response};
@@ -244,11 +245,19 @@
     let id = shared.header_codec.attempt_id(&incoming.headers);
     let mut abandonment_guard =
         AbandonmentGuard { shared: shared.clone(), id, arrived, has_response: false };
-    let (tier, result) = match shared.admit(incoming, arrived).await {
-        Ok(admitted) => {
-            (Some(admitted.priority.route_tier), dispatch::serve_request(&shared, admitted).await)
+    let progress = DispatchProgress::default();
+    let served = async {
+        match shared.admit(incoming, arrived).await {
+            Ok(admitted) => {
+                let tier = admitted.priority.route_tier;
+                (Some(tier), dispatch::serve_request(&shared, admitted, &progress).await)
+            }
+            Err(refusal) => (None, Err(refusal)),
         }
-        Err(refusal) => (None, Err(refusal)),
+    };
+    let (tier, result) = tokio::select! {
+        served = served => served,
+        () = shared.last_answer_notify.notified() => (None, Err(shared.stop_refusal(&progress))),
     };
     abandonment_guard.has_response = true;
     let elapsed = shared.clock.now().saturating_duration_since(arrived);
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -1,6 +1,7 @@
 //! Serves one admitted request: acquires slots, sends attempts to upstreams, and retries where that
 //! is safe.
 
+use std::cell::Cell;
 use std::iter;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -50,6 +51,19 @@
     pub(super) upstreams_used: u32,
 }
 
+/// How far a request has got, for those who give up on it.
+#[derive(Debug, Default)]
+pub(super) struct DispatchProgress {
+    may_have_run: Cell<bool>,
+}
+
+impl DispatchProgress {
+    /// Whether an upstream may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+}
+
 /// Result of one attempt for the retry loop, once a stream has started, the complete response has
 /// been read, or the attempt has failed.
 enum AttemptEnd {
@@ -65,6 +79,7 @@
 pub(super) async fn serve_request(
     shared: &SharedRef,
     admitted: AdmittedRequest,
+    progress: &DispatchProgress,
 ) -> Result<CallerResponse, Refusal> {
     let admitted = Rc::new(admitted);
     let mut attempts = Attempts::default();
@@ -80,6 +95,7 @@
             }
         };
         shared.record_attempt(&admitted, &mut attempts);
+        progress.may_have_run.set(true);
         let end = run_attempt(shared, &admitted, &mut slot, &attempts).await;
         let (result, response) = match end {
             AttemptEnd::StreamStarted(response) => return Ok(response),
@@ -91,6 +107,7 @@
         if !matches!(result, AttemptResult::NotSent | AttemptResult::Declined) {
             attempts.upstreams_used += 1;
         }
+        progress.may_have_run.set(attempts.upstreams_used > 0);
         let upstream = slot.upstream().id();
         let next_step = decide_next_step(result, retry_state(&admitted, &attempts));
         shared.log_next_step(&admitted, &attempts, &slot, result, next_step);
@@ -216,6 +233,9 @@
                 let causes = iter::once(Cause::Request(admitted.hash()));
                 check_for_crash(shared, causes, slot.upstream(), AnswerEnd::Unframed);
             }
+            if !failed {
+                shared.record_served(admitted);
+            }
             let result = AttemptResult::Answered { status: status.as_u16() };
             let body = HeldBody::new(body, held);
             AttemptEnd::Ended(result, Some(CallerResponse::Complete { status, headers, body }))
@@ -252,6 +272,12 @@
 }
 
 impl Shared {
+    /// Records how long a served request has taken.
+    pub(super) fn record_served(&self, admitted: &AdmittedRequest) {
+        let elapsed = self.clock.now().saturating_duration_since(admitted.arrived);
+        self.served_times.borrow_mut().record(&admitted.route.name, elapsed);
+    }
+
     /// Logs the result of an attempt and the next step.
     fn log_next_step(
         &self,
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -41,22 +41,12 @@
 use crate::header_codec::HeaderCodec;
 use crate::model::{Configuration, Position, ServiceId, Upstream};
 use crate::peers::Member;
+use crate::planned_stop::StopStep;
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
 use crate::stream_versions::{Marker, StreamRecordStore};
 use state::Shared;
 
-/// Time before the end of the grace period at which a planned stop ends, so that the process can
-/// exit within the grace period.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
-/// Time after the start of a planned stop for which callers' idle connections stay open: the
-/// balancer stops sending requests after two failed checks, a second apart.
-const IDLE_CONNECTION_LINGER: Duration = Duration::from_millis(2_200);
-
-/// Shortest duration of a planned stop: requests are admitted until shortly before.
-const MIN_STOP_DURATION: Duration = Duration::from_millis(3_200);
-
-/// Interval at which a planned stop checks whether all requests have finished.
+/// Interval at which a planned stop checks what is left to do.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval at which state that changes with time alone is updated.
@@ -217,25 +207,25 @@
     }
 
     /// Performs a planned stop: readiness is withdrawn at once, open requests finish, and idle
-    /// connections are closed. Returns when all requests have finished, but not before
-    /// `MIN_STOP_DURATION`, or shortly before the end of the grace period.
+    /// connections are closed. Returns when all requests have finished, or shortly before the end of
+    /// the grace period; requests that are still open then have been answered, streams that have
+    /// begun are cut.
     pub async fn stop(&self) {
-        let grace_period = self.shared.begin_stop();
-        let started_at = self.shared.clock.now();
-        let time_limit = grace_period.saturating_sub(EXIT_MARGIN);
+        let stop = self.shared.begin_stop();
         loop {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
-            let elapsed = self.shared.clock.now().saturating_duration_since(started_at);
-            if elapsed >= IDLE_CONNECTION_LINGER {
-                self.shared.close_idle_callers();
-            }
             let (open, connections) = self.shared.open_counts();
-            if (elapsed >= MIN_STOP_DURATION && open == 0) || elapsed >= time_limit {
-                let elapsed_ms = elapsed.as_millis();
-                info!(
-                    "stop.end open_requests={open} connections={connections} after_ms={elapsed_ms}"
-                );
-                return;
+            match stop.next_step(open, self.shared.clock.now()) {
+                StopStep::Wait => {}
+                StopStep::CloseIdle => self.shared.close_idle_callers(),
+                StopStep::AnswerAll => {
+                    self.shared.close_idle_callers();
+                    self.shared.last_answer_notify.notify_waiters();
+                }
+                StopStep::Exit => {
+                    info!("stop.end open_requests={open} connections={connections}");
+                    return;
+                }
             }
         }
     }
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -273,6 +273,7 @@
             self.shared.keep_connection(&self.slot, response.connection, &response.metadata);
         }
         self.slot.release(AttemptOutcome::Served);
+        self.shared.record_served(&self.admitted);
         self.completed = true;
         if let Some(stream) = self.admitted.stream {
             self.shared.complete_stream(stream);
--- a/components/gateway/src/runtime/response.rs
+++ b/components/gateway/src/runtime/response.rs
@@ -46,11 +46,12 @@
     rest: Bytes,
     length: u64,
     _held: HeldBytes,
+    open_request: Option<OpenRequest>,
 }
 
 impl HeldBody {
     pub(super) fn new(body: Bytes, held: HeldBytes) -> HeldBody {
-        HeldBody { length: body.len() as u64, rest: body, _held: held }
+        HeldBody { length: body.len() as u64, rest: body, _held: held, open_request: None }
     }
 }
 
@@ -67,6 +68,9 @@
             return Poll::Ready(None);
         }
         let chunk = self.rest.split_to(BODY_CHUNK_BYTES.min(self.rest.len()));
+        if self.rest.is_empty() {
+            self.open_request = None;
+        }
         Poll::Ready(Some(Ok(ntex::util::Bytes::copy_from_slice(&chunk))))
     }
 }
@@ -110,7 +114,10 @@
         builder.force_close();
     }
     match response {
-        CallerResponse::Complete { body, .. } => builder.body(Body::from_message(body)),
+        CallerResponse::Complete { body, .. } => {
+            let open_request = Some(open_request);
+            builder.body(Body::from_message(HeldBody { open_request, ..body }))
+        }
         CallerResponse::Stream { relay, .. } => {
             builder.streaming(relay.into_event_stream(open_request))
         }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Result;
 use bytes::Bytes;
@@ -30,10 +30,12 @@
 use crate::key_confirmation::KeyConfirmation;
 use crate::model::{Allowance, CallerLimits, PeerId, Position, ServiceId, Upstream, UpstreamId};
 use crate::peers::Peers;
+use crate::planned_stop::PlannedStop;
 use crate::reachability::Reachability;
 use crate::read_schedule::ReadSchedule;
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
+use crate::served_times::ServedTimes;
 use crate::shared_read::SharedReadReceiver;
 use crate::store_copy::StoreCopy;
 use crate::store_lag::StoreLag;
@@ -119,7 +121,11 @@
     pub(super) peers: RefCell<Peers>,
     pub(super) close_idle_notify: Notify,
     pub(super) closing_idle_callers: Cell<bool>,
-    pub(super) stopping_since: Cell<Option<Instant>>,
+    /// How long requests have taken.
+    pub(super) served_times: RefCell<ServedTimes>,
+    pub(super) planned_stop: Cell<Option<PlannedStop>>,
+    /// Notified when a planned stop answers all requests that are still open.
+    pub(super) last_answer_notify: Notify,
     pub(super) open_requests: Cell<usize>,
     pub(super) open_connections: Cell<usize>,
     pub(super) read_schedule: RefCell<ReadSchedule>,
@@ -189,7 +195,9 @@
             peers: RefCell::default(),
             close_idle_notify: Notify::new(),
             closing_idle_callers: Cell::new(false),
-            stopping_since: Cell::new(None),
+            served_times: RefCell::default(),
+            planned_stop: Cell::new(None),
+            last_answer_notify: Notify::new(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             read_schedule: RefCell::default(),
@@ -296,13 +304,15 @@
         *self.settings.borrow_mut() = settings;
     }
 
-    /// Begins a planned stop and returns its grace period.
-    pub(super) fn begin_stop(&self) -> Duration {
-        self.stopping_since.set(Some(self.clock.now()));
+    /// Begins a planned stop, unless one has begun.
+    pub(super) fn begin_stop(&self) -> PlannedStop {
+        let begin = || PlannedStop::begin(self.settings.borrow().grace_period, self.clock.now());
+        let stop = self.planned_stop.get().unwrap_or_else(begin);
+        self.planned_stop.set(Some(stop));
         self.update_leaving();
         let open = self.open_requests.get();
         info!("stop.begin open_requests={open}");
-        self.settings.borrow().grace_period
+        stop
     }
 
     /// Whether this gateway leaves its elected roles (broker, bucket owner) to its peers: it stops,
@@ -321,7 +331,7 @@
     }
 
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+        self.planned_stop.get().is_some()
     }
 
     pub(super) fn close_idle_callers(&self) {
