Take up a stream without a read of the records only where all gateways agree

Cause: when the records could not be read, a gateway believed its own copy of marker and upstreams, however old.

Change: the copy counts only if each other gateway has told since the stream arrived that it knows the same state. The gateway through which the stream began knew of its version before the first event, so its digests differ. Otherwise the stream is refused as not run.

--- a/components/gateway/src/peers/mod.rs
+++ b/components/gateway/src/peers/mod.rs
@@ -60,6 +60,8 @@
     last_contact_at: Option<Instant>,
     leaving: bool,
     sequence: u32,
+    /// Fingerprint of the store's state as known to the peer, and when its digest arrived.
+    told_state: Option<(u64, Instant)>,
     /// When the store confirmed the peer's state, as uptime of this host.
     confirmed_at: Option<Duration>,
     /// Gateways that the peer counts, itself included.
@@ -138,6 +140,7 @@
                 last_contact_at: None,
                 leaving: false,
                 sequence: 0,
+                told_state: None,
                 confirmed_at: None,
                 counted: 0,
             });
@@ -157,6 +160,22 @@
         }
     }
 
+    /// Records the fingerprint of the store's state in a member's digest.
+    pub fn record_state(&mut self, id: PeerId, fingerprint: u64, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.told_state = Some((fingerprint, now));
+        }
+    }
+
+    /// Whether all members have told since `since` that they know the state with this fingerprint.
+    /// Members whose store entry is gone and that are silent count as gone.
+    pub fn agree_since(&self, fingerprint: u64, since: Instant, now: Instant) -> bool {
+        let mut serving = self.peers.values().filter(|peer| peer.is_serving(now));
+        serving.all(|peer| {
+            peer.told_state.is_some_and(|(told, told_at)| told == fingerprint && told_at >= since)
+        })
+    }
+
     /// Records when the store confirmed a member's state, as uptime of this host.
     pub fn record_confirmation(&mut self, id: PeerId, confirmed_at: Duration) {
         if let Some(peer) = self.peers.get_mut(&id) {
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -313,6 +313,7 @@
         if !self.peers.borrow_mut().accept_digest(digest.from, digest.sequence, now) {
             return;
         }
+        self.peers.borrow_mut().record_state(digest.from, digest.fingerprint, now);
         let was_leaving = self.peers.borrow_mut().set_leaving(digest.from, digest.leaving);
         if was_leaving != digest.leaving {
             info!("member.leaving member={} leaving={}", digest.from, digest.leaving);
--- a/components/gateway/src/runtime/stream_versions/take_up.rs
+++ b/components/gateway/src/runtime/stream_versions/take_up.rs
@@ -1,4 +1,10 @@
 //! Streams that callers take up: the service and version at which they go on.
+//!
+//! Load pattern: a gateway is cut off or stands still while a service gets a second version. Streams
+//! that began at it through other gateways break off, and are taken up here. A read of the records
+//! that is begun after a stream arrived knows of its version. Without one, what this gateway knows
+//! may be old; it counts only if each other gateway has told since that it knows the same. All of
+//! them do while the store is away for all.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,6 +24,16 @@
 /// Longest time that a stream waits for a read of the records.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time after the arrival of a stream from which digests were sent after it as well. It covers their
+/// time in transit, and the digests that a process finds in its socket after it has stood still.
+const DIGEST_DELAY: Duration = Duration::from_millis(150);
+
+/// Time after the arrival of a stream in which each gateway has sent a digest to all zones.
+const AGREEMENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Interval at which is checked whether the other gateways agree.
+const AGREEMENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Retry delay given where the version that began a stream is not known or not in service: records
 /// and upstreams may be back soon.
 const TAKE_UP_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -95,10 +111,30 @@
         }
         match timeout(LOOKUP_TIMEOUT, self.look_up(arrived)).await.ok().flatten() {
             Some(recorded) => recorded.origin(stream, service),
-            None => {
-                let services = self.stream_versions.services.borrow();
-                services.origin_without_lookup(service, self.store_era())
+            None => self.find_origin_without_lookup(service, arrived).await,
+        }
+    }
+
+    /// The origin of an unrecorded stream as this gateway knows it, if that holds for all others.
+    async fn find_origin_without_lookup(&self, service: ServiceId, arrived: Instant) -> Origin {
+        let origin = || {
+            let services = self.stream_versions.services.borrow();
+            services.origin_without_lookup(service, self.store_era())
+        };
+        let since = arrived + DIGEST_DELAY;
+        loop {
+            let now = self.clock.now();
+            if origin() == Origin::Unknown {
+                return Origin::Unknown;
+            }
+            if self.peers.borrow().agree_since(self.fingerprint(), since, now) {
+                return origin();
+            }
+            if now >= arrived + AGREEMENT_TIMEOUT {
+                info!("stream.unconfirmed service={service:?}");
+                return Origin::Unknown;
             }
+            tokio::time::sleep(AGREEMENT_POLL_INTERVAL).await;
         }
     }
 
--- a/components/gateway/src/stream_versions/service_versions.rs
+++ b/components/gateway/src/stream_versions/service_versions.rs
@@ -81,7 +81,7 @@
     }
 
     /// What is known of an unrecorded stream while the store does not answer: a service that has had
-    /// one version for long has it still.
+    /// one version for long has it still, if no gateway knows of another one.
     pub fn origin_without_lookup(&self, service: ServiceId, era: u64) -> Origin {
         let only = self.markers.only(service, era);
         let is_alone = |version: &VersionId| self.announced(service) == [*version];
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -203,3 +203,21 @@
     peers.expire_departed(start + Duration::from_secs(10));
     assert_eq!(peers.gateway_count(), 3);
 }
+
+/// Guards against a gateway that believes its old copy of the store while others know a later state.
+#[test]
+fn silent_or_differing_members_count_as_agreeing() {
+    let start = Instant::now();
+    let mut peers = Peers::default();
+    assert!(peers.agree_since(7, start, start), "it is alone");
+    peers.set_members(&[member(1, 7000), member(2, 7001)], start);
+    assert!(!peers.agree_since(7, start, start), "nobody has told anything");
+    let told_at = start + Duration::from_millis(200);
+    peers.record_state(1, 7, told_at);
+    assert!(!peers.agree_since(7, start, told_at), "one is silent");
+    peers.record_state(2, 8, told_at);
+    assert!(!peers.agree_since(7, start, told_at), "one differs");
+    peers.record_state(2, 7, told_at);
+    assert!(peers.agree_since(7, start, told_at));
+    assert!(!peers.agree_since(7, told_at + Duration::from_millis(1), told_at), "told before");
+}
