Keep events of a version from callers while the marker names another one

Cause: the wait for the service's marker ended after 0.5 s by delivering the events (stream.unmarked), with neither marker nor record in the store.

Evidence, before: the new test gets status 200 from the new version while the marker names the old one.

Change: after 0.5 s the request goes to an upstream of the marked version, if one serves; otherwise its events wait for the marker until the time limit and are delivered late.

Result: the test passes.

--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -24,6 +24,7 @@
 use super::slot_guard::SlotGuard;
 use super::slots;
 use super::state::SharedRef;
+use super::stream_versions::StreamStart;
 use crate::byte_budget::HeldBytes;
 use crate::crash_quarantine::{Run, RunResult};
 use crate::events::{EventSplitter, count_events, last_event_id};
@@ -58,7 +59,7 @@
 pub(super) enum RelayStart {
     /// The first events have been received.
     Events(Box<Relay>),
-    /// The stream failed before its first event.
+    /// The stream failed before its first event, or may not reach the caller.
     Broken,
     /// The request's deadline passed before the first event.
     DeadlinePassed,
@@ -130,8 +131,10 @@
         });
         match relay.read_events().await {
             ReadResult::Events(events) => {
-                if let Some(stream) = relay.admitted.stream {
-                    relay.shared.begin_stream(stream, relay.slot.upstream()).await;
+                if relay.record_start().await == StreamStart::Unmarked {
+                    relay.upstream_response = None;
+                    relay.slot.release(AttemptOutcome::Abandoned);
+                    return RelayStart::Broken;
                 }
                 relay.first_events = Some(events);
                 RelayStart::Events(relay)
@@ -153,6 +156,11 @@
         }
     }
 
+    async fn record_start(&self) -> StreamStart {
+        let Some(stream) = self.admitted.stream else { return StreamStart::Begun };
+        self.shared.begin_stream(stream, self.slot.upstream(), self.admitted.deadline).await
+    }
+
     /// The stream of events from the first one on; `open_request` is held until the last.
     pub(super) fn into_event_stream(
         self: Box<Self>,
--- a/components/gateway/src/runtime/stream_versions/mod.rs
+++ b/components/gateway/src/runtime/stream_versions/mod.rs
@@ -21,7 +21,7 @@
 };
 
 pub(super) use markers::keep_markers;
-pub(super) use records::run;
+pub(super) use records::{StreamStart, run};
 pub(super) use take_up::StreamTarget;
 
 /// Time for which a stream may last before the first configuration.
--- a/components/gateway/src/runtime/stream_versions/records.rs
+++ b/components/gateway/src/runtime/stream_versions/records.rs
@@ -11,17 +11,33 @@
 /// Delay before records are written again after a failure.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Longest time for which the first event of a stream waits for the service's marker to be replaced,
-/// which is necessary only right after a new version has appeared.
+/// Time for which the first event of a stream waits for the service's marker to be replaced, which is
+/// necessary only right after a new version has appeared. Then the stream begins elsewhere, if
+/// upstreams of the marked version serve.
 const MARKER_WAIT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Interval at which is checked whether the marker has been replaced.
 const MARKER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Whether the events of a stream may reach its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::runtime) enum StreamStart {
+    /// They may.
+    Begun,
+    /// The marker of the service names another version.
+    Unmarked,
+}
+
 impl Shared {
     /// Records the version at which a stream begins or goes on, before its first event reaches the
-    /// caller.
-    pub(in crate::runtime) async fn begin_stream(&self, stream: StreamId, upstream: &Upstream) {
+    /// caller. Must not reach it if the marker names another version: in no record yet, the stream
+    /// would go on at that one at another gateway.
+    pub(in crate::runtime) async fn begin_stream(
+        &self,
+        stream: StreamId,
+        upstream: &Upstream,
+        deadline: Instant,
+    ) -> StreamStart {
         let service = ServiceId::of(&upstream.service);
         // The upstream may have started again at another version since it was chosen.
         let announced = self.upstream_table.borrow().version_of(&upstream.instance);
@@ -36,12 +52,16 @@
             services.is_marked_otherwise(service, upstream.version_id(), self.store_era())
         };
         while is_marked_otherwise() {
-            if self.clock.now().saturating_duration_since(now) >= MARKER_WAIT_LIMIT {
+            let waited = self.clock.now().saturating_duration_since(now);
+            let may_begin_elsewhere =
+                waited >= MARKER_WAIT_LIMIT && self.preferred_version(service).is_some();
+            if may_begin_elsewhere || self.clock.now() >= deadline {
                 warn!("stream.unmarked instance={}", upstream.instance);
-                return;
+                return StreamStart::Unmarked;
             }
             tokio::time::sleep(MARKER_POLL_INTERVAL).await;
         }
+        StreamStart::Begun
     }
 
     /// The version that began a stream which this gateway relays; `None` if it is not known.
