Name one version in a marker only after having known the versions without a gap

Until the marker is replaced, streams in no record yet would go on at the named version.

Cause: the time for which a service has had one version was counted over periods in which the gateway could not know it.

Evidence: the new test names a version at once after a gap in the code before.

Change: a gap of a second between two checks, or a confirmation by the store older than 3 s, begins the observation anew, and no marker that names a version is written in it. That there are several versions is still written at once.

--- a/components/gateway/src/runtime/stream_versions/markers.rs
+++ b/components/gateway/src/runtime/stream_versions/markers.rs
@@ -12,11 +12,20 @@
 /// Delay before a marker is written again after a failure.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Age of the store's last confirmation from which this gateway may have missed a version that came
+/// and went.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+
+/// Time between two checks from which the process has stood still.
+const MAX_CHECK_GAP: Duration = Duration::from_secs(1);
+
 /// Begins to write the markers that are due.
 pub(in crate::runtime) fn keep_markers(shared: &SharedRef) {
     let Some(store) = shared.stream_versions.store.borrow().clone() else { return };
     let now = shared.clock.now();
-    for view in shared.service_views() {
+    let checked_at = shared.stream_versions.markers_checked_at.replace(Some(now));
+    let gap = checked_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+    for view in shared.service_views(gap) {
         let due = shared.stream_versions.marker_keeper.borrow_mut().next_marker(&view, now);
         let Some(marker) = due else { continue };
         if shared.stream_versions.marker_writes.borrow_mut().insert(view.service) {
@@ -52,11 +61,14 @@
 
 impl Shared {
     /// Views of the services whose streams may be resumed; none before the first read of the store.
-    fn service_views(&self) -> Vec<ServiceView> {
+    /// `gap` is the time since they were last looked at.
+    fn service_views(&self, gap: Duration) -> Vec<ServiceView> {
         let Some(configuration) = self.configuration() else { return Vec::new() };
         if self.read_schedule.borrow().position().is_none() {
             return Vec::new();
         }
+        let is_confirmed = self.freshness.get().is_within(self.clock.uptime(), MAX_VIEW_AGE);
+        let is_current = is_confirmed && gap <= MAX_CHECK_GAP;
         let services = self.stream_versions.services.borrow();
         let view = |service: &ServiceId| {
             let ranked = self.ranked_brokers(*service);
@@ -68,6 +80,7 @@
                 era: self.store_era(),
                 rank: rank.unwrap_or(ranked.len()) as u32,
                 stream_lifetime: configuration.stream_lifetime,
+                is_current,
             }
         };
         configuration.resumable_services.iter().map(view).collect()
--- a/components/gateway/src/runtime/stream_versions/mod.rs
+++ b/components/gateway/src/runtime/stream_versions/mod.rs
@@ -6,7 +6,7 @@
 mod records;
 mod take_up;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +36,7 @@
     log: RefCell<StreamLog>,
     pub(super) services: RefCell<ServiceVersions>,
     marker_keeper: RefCell<MarkerKeeper>,
+    markers_checked_at: Cell<Option<Instant>>,
     pub(super) store: RefCell<Option<Rc<dyn StreamRecordStore>>>,
     /// Services whose marker is being written.
     marker_writes: RefCell<HashSet<ServiceId>>,
--- a/components/gateway/src/stream_versions/marker_keeper.rs
+++ b/components/gateway/src/stream_versions/marker_keeper.rs
@@ -3,6 +3,9 @@
 //! Load pattern: a release that a hundred gateways notice within a second. They write one after the
 //! other by rank, so that the first write spares the rest.
 //!
+//! A gateway that was cut off or stood still does not know what was announced meanwhile, and observes
+//! the versions anew.
+//!
 //! A marker that names one version is replaced as soon as another version is announced, before a
 //! stream that began there reaches its caller. It names a version again only after no other one has
 //! been announced for longer than a stream can last.
@@ -35,6 +38,8 @@
     pub rank: u32,
     /// Time for which a stream may last over all attempts of its caller.
     pub stream_lifetime: Duration,
+    /// Whether the gateway has known all this without a gap.
+    pub is_current: bool,
 }
 
 impl ServiceView {
@@ -80,16 +85,20 @@
 impl MarkerKeeper {
     /// The marker that this gateway should write now, if any.
     pub fn next_marker(&mut self, view: &ServiceView, now: Instant) -> Option<Marker> {
-        let ServiceView { service, versions, era, .. } = view;
+        let ServiceView { service, versions, era, is_current, .. } = view;
         let observation = self.observations.entry(*service).or_insert_with(|| Observation {
             versions: versions.clone(),
             era: *era,
             since: now,
         });
-        if observation.versions != *versions || observation.era != *era {
+        let is_same = observation.versions == *versions && observation.era == *era;
+        if !is_same || !is_current {
             *observation = Observation { versions: versions.clone(), era: *era, since: now };
         }
         let (marker, required) = view.wanted_marker()?;
+        if marker.only.is_some() && !is_current {
+            return None;
+        }
         let delay = DELAY_PER_RANK * view.rank.min(LAST_DELAYED_RANK);
         let observed = now.saturating_duration_since(observation.since);
         (observed >= required + delay).then_some(marker)
--- a/components/gateway/tests/stream_versions.rs
+++ b/components/gateway/tests/stream_versions.rs
@@ -41,6 +41,7 @@
         era,
         rank: 0,
         stream_lifetime: LIFETIME,
+        is_current: true,
     }
 }
 
@@ -90,6 +91,26 @@
     assert_eq!(keeper.next_marker(&uniform, almost + LIFETIME), Some(only(V2, 0)));
 }
 
+/// Guards against a gateway that was cut off or stood still, and writes a marker from before that
+/// names one version while streams of another run.
+#[test]
+fn a_gateway_that_was_out_of_step_names_one_version_in_the_marker() {
+    let now = Instant::now();
+    let mut keeper = MarkerKeeper::default();
+    let uniform = view(&[V1], Some(several(0)), 0);
+    assert_eq!(keeper.next_marker(&uniform, now), None);
+    let resumed = now + LIFETIME;
+    let after_gap = ServiceView { is_current: false, ..uniform.clone() };
+    assert_eq!(keeper.next_marker(&after_gap, resumed), None);
+    assert_eq!(keeper.next_marker(&uniform, resumed + Duration::from_secs(1)), None);
+    assert_eq!(keeper.next_marker(&uniform, resumed + LIFETIME), Some(only(V1, 0)));
+    let first = ServiceView { marker: None, is_current: false, ..uniform };
+    assert_eq!(MarkerKeeper::default().next_marker(&first, now), None);
+    // What it does know is that there are several.
+    let mixed = ServiceView { is_current: false, ..view(&[V1, V2], Some(only(V1, 0)), 0) };
+    assert_eq!(MarkerKeeper::default().next_marker(&mixed, now), Some(several(0)));
+}
+
 #[test]
 fn the_first_marker_is_written_after_the_first_streams_only() {
     let now = Instant::now();
