--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -84,9 +84,9 @@
     RetryBudgetSpent = 2008, 503, "retry_budget_spent", "Too many requests are being retried at the moment.";
     PromptQuarantined = 2009, 503, "prompt_quarantined", "The prompt has a part under which upstreams have ended; it is tried again from time to time.";
     RequestQuarantined = 2010, 503, "request_quarantined", "Upstreams have ended under the same request; it is tried again from time to time.";
-    GatewayFull = 2011, 503, "gateway_full", "This process holds as many bytes of requests and responses as it may.";
     StreamVersionGone = 2011, 503, "stream_version_gone", "The software version that began the stream is not in service, so that the stream cannot go on; a new one can begin.";
     StreamOriginUnknown = 2012, 503, "stream_origin_unknown", "It is not known which software version began the stream, so that the stream cannot go on; a new one can begin.";
+    GatewayFull = 2013, 503, "gateway_full", "This process holds as many bytes of requests and responses as it may.";
     UpstreamFailed = 3001, 502, "upstream_failed", "The upstream failed while processing the request.";
     UpstreamLost = 3002, 504, "upstream_lost", "Communication with the upstream was lost after the request was dispatched.";
     AlreadyRunning = 3003, 409, "already_running", "The same request is already being processed.";
