Keep room for small requests beside large responses

Cause: large responses took all of the budget, and the body of a small request counted as growth.

Change: bodies and large responses grow within three quarters of the budget, and the reserve of a request covers a small body. Buffers of bodies grow by an eighth, so that a response of 4 MiB fits into the share of one upstream.

--- a/components/gateway/src/byte_budget.rs
+++ b/components/gateway/src/byte_budget.rs
@@ -15,9 +15,16 @@
 
 use crate::model::UpstreamId;
 
+/// Room that each request reserves: for a small body, and a small response.
+const REQUEST_RESERVE_BYTES: usize = 16 << 10;
+
 /// Part of each response for which its request has reserved room.
 const RESPONSE_RESERVE_BYTES: usize = 8 << 10;
 
+/// Bodies and large responses may take this part of the budget; the rest is for the reserves of further
+/// requests, which are small.
+const LARGE_SHARE: f64 = 0.75;
+
 /// All responses of one upstream may hold at most this part of the budget beyond their reserves.
 const UPSTREAM_SHARE_DIVISOR: usize = 4;
 
@@ -61,11 +68,13 @@
         self.held_bytes.get()
     }
 
-    /// Reserves room for a request without a body and its small response.
+    /// Reserves room for a request with a small body and a small response.
     pub fn admit_request(self: &Rc<Self>) -> Result<HeldBytes, BudgetExceeded> {
-        let mut held = HeldBytes { budget: self.clone(), upstream: None, bytes: 0 };
-        held.set(RESPONSE_RESERVE_BYTES)?;
-        Ok(held)
+        if self.held_bytes.get() + REQUEST_RESERVE_BYTES > self.limit_bytes.get() {
+            return Err(BudgetExceeded);
+        }
+        self.change(None, 0, REQUEST_RESERVE_BYTES);
+        Ok(HeldBytes { budget: self.clone(), upstream: None, bytes: REQUEST_RESERVE_BYTES })
     }
 
     /// Begins to count a response of an upstream.
@@ -73,8 +82,9 @@
         HeldBytes { budget: self.clone(), upstream: Some(upstream), bytes: 0 }
     }
 
+    /// Whether a body or a large response may grow by `bytes`.
     fn has_room(&self, upstream: Option<UpstreamId>, bytes: usize) -> bool {
-        let limit_bytes = self.limit_bytes.get();
+        let limit_bytes = (self.limit_bytes.get() as f64 * LARGE_SHARE) as usize;
         let of_upstream = upstream.map_or(0, |upstream| {
             self.held_by_upstream.borrow().get(&upstream).copied().unwrap_or(0)
         });
@@ -106,15 +116,12 @@
 }
 
 impl HeldBytes {
-    /// Sets the length of the caller's body so far, or of the response that is held.
-    pub fn set_length(&mut self, length_bytes: usize) -> Result<(), BudgetExceeded> {
-        self.set(match self.upstream {
-            Some(_) => length_bytes.saturating_sub(RESPONSE_RESERVE_BYTES),
-            None => RESPONSE_RESERVE_BYTES + length_bytes,
-        })
-    }
-
-    fn set(&mut self, bytes: usize) -> Result<(), BudgetExceeded> {
+    /// Holds the bytes of the caller's body so far, or of the response that are not passed on.
+    pub fn hold(&mut self, bytes: usize) -> Result<(), BudgetExceeded> {
+        let bytes = match self.upstream {
+            Some(_) => bytes.saturating_sub(RESPONSE_RESERVE_BYTES),
+            None => RESPONSE_RESERVE_BYTES.saturating_add(bytes).max(REQUEST_RESERVE_BYTES),
+        };
         let more = bytes.saturating_sub(self.bytes);
         if more > 0 && !self.budget.has_room(self.upstream, more) {
             return Err(BudgetExceeded);
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -276,7 +276,7 @@
     held: &mut HeldBytes,
 ) -> Result<Bytes, LinkError> {
     let deadline = TokioInstant::from_std(admitted.deadline);
-    let hold = |length_bytes| held.set_length(length_bytes).map_err(|error| error.to_string());
+    let hold = |bytes| held.hold(bytes).map_err(|error| error.to_string());
     timeout_at(deadline, link::read_held_body(body, RESPONSE_LIMIT_BYTES, hold))
         .await
         .unwrap_or_else(|_| Err(LinkError::Unknown("deadline passed".to_owned())))
--- a/components/gateway/src/runtime/caller_request.rs
+++ b/components/gateway/src/runtime/caller_request.rs
@@ -80,7 +80,7 @@
             return Err(Refusal::not_run(ResultCode::BodyTooLarge));
         }
         body.reserve(chunk.len());
-        held.set_length(body.capacity()).map_err(no_room)?;
+        held.hold(body.capacity()).map_err(no_room)?;
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -222,7 +222,7 @@
             };
             let Ok(bytes) = frame.into_data() else { continue };
             let pushed = self.splitter.push(&bytes);
-            if let Err(error) = self.held.set_length(self.splitter.partial_bytes()) {
+            if let Err(error) = self.held.hold(self.splitter.partial_bytes()) {
                 return ReadResult::Broken(error.to_string());
             }
             match pushed {
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -22,6 +22,9 @@
 /// headers of the largest request on the users' platform.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// The buffer of a body grows by this part of its length at least, so that little of it is unused.
+const BODY_GROWTH_DIVISOR: usize = 8;
+
 /// Response head with a body that has not been read yet.
 pub type LinkResponse = Response<Incoming>;
 
@@ -151,13 +154,17 @@
     limit_bytes: usize,
     mut hold: impl FnMut(usize) -> Result<(), String>,
 ) -> Result<Bytes, LinkError> {
-    let mut content = BytesMut::new();
+    let mut content = Vec::new();
     while let Some(chunk) = next_chunk(&mut body).await? {
-        content.reserve(chunk.len());
-        hold(content.capacity()).map_err(LinkError::Unknown)?;
-        append(&mut content, &chunk, limit_bytes)?;
+        check_length(content.len() + chunk.len(), limit_bytes)?;
+        if content.capacity() - content.len() < chunk.len() {
+            let further_bytes = chunk.len().max(content.len() / BODY_GROWTH_DIVISOR);
+            hold(content.len() + further_bytes).map_err(LinkError::Unknown)?;
+            content.reserve_exact(further_bytes);
+        }
+        content.extend_from_slice(&chunk);
     }
-    Ok(content.freeze())
+    Ok(content.into())
 }
 
 /// Reads a body to its end while it makes progress, and reports the number of bytes received so far
@@ -192,9 +199,14 @@
 }
 
 fn append(content: &mut BytesMut, chunk: &[u8], limit_bytes: usize) -> Result<(), LinkError> {
-    if content.len() + chunk.len() > limit_bytes {
+    check_length(content.len() + chunk.len(), limit_bytes)?;
+    content.extend_from_slice(chunk);
+    Ok(())
+}
+
+fn check_length(length_bytes: usize, limit_bytes: usize) -> Result<(), LinkError> {
+    if length_bytes > limit_bytes {
         return Err(LinkError::Unknown(format!("body exceeds the limit of {limit_bytes} bytes")));
     }
-    content.extend_from_slice(chunk);
     Ok(())
 }
