--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -62,6 +62,26 @@
     Ok((answer, answered_at))
 }
 
+/// A channel that a client keeps.
+pub struct Channel {
+    output: TcpStream,
+    input: Input,
+}
+
+impl Channel {
+    pub fn open(to: SocketAddr, limit: Duration) -> io::Result<Channel> {
+        let output = connect(to, limit)?;
+        let input = Input::new(output.try_clone()?);
+        Ok(Channel { output, input })
+    }
+
+    /// Sends a request and reads the answer to its end.
+    pub fn send(&mut self, request: &Request) -> io::Result<Message> {
+        self.output.write_all(&encode(request))?;
+        read_message(&mut self.input)
+    }
+}
+
 /// Sends a request and reads the first head that comes back.
 pub fn read_first_head(to: SocketAddr, request: &Request) -> io::Result<Message> {
     let mut stream = connect(to, request.deadline)?;
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -59,6 +59,27 @@
     cut_off: Mutex<HashSet<usize>>,
 }
 
+/// Decodes the percent signs of a query.
+fn decode_percent(text: &str) -> String {
+    let mut decoded = Vec::new();
+    let mut parts = text.split('%');
+    decoded.extend_from_slice(parts.next().unwrap_or("").as_bytes());
+    for part in parts {
+        let code = part.get(..2).and_then(|code| u8::from_str_radix(code, 16).ok());
+        match code {
+            Some(byte) => {
+                decoded.push(byte);
+                decoded.extend_from_slice(&part.as_bytes()[2..]);
+            }
+            None => {
+                decoded.push(b'%');
+                decoded.extend_from_slice(part.as_bytes());
+            }
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
 fn item_json(key: &str, item: &Item) -> String {
     format!(
         "{{\"Key\":\"{key}\",\"Value\":\"{}\",\"Revision\":{},\"Created\":{},\"Lease\":{}}}",
@@ -259,7 +280,7 @@
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let field = |name: &str| {
             let found = query.split('&').find_map(|pair| pair.strip_prefix(&format!("{name}=")));
-            found.unwrap_or("").replace("%2F", "/")
+            decode_percent(found.unwrap_or(""))
         };
         let body = Json::parse(std::str::from_utf8(body).unwrap_or(""));
         match path {
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -70,6 +70,8 @@
     faulty_share: Mutex<f64>,
     faulty_debt: Mutex<f64>,
     fault: Mutex<Fault>,
+    /// Idle timeout that its answers state, in seconds.
+    keep_alive_s: Mutex<Option<u64>>,
     pub runs: Mutex<Vec<Run>>,
     record: Arc<Record>,
 }
@@ -119,6 +121,7 @@
             faulty_share: Mutex::new(0.0),
             faulty_debt: Mutex::new(0.0),
             fault: Mutex::new(Fault::Endless),
+            keep_alive_s: Mutex::default(),
             runs: Mutex::default(),
             record: record.clone(),
         });
@@ -146,6 +149,11 @@
         *self.faulty_share.lock().unwrap() = share;
     }
 
+    /// States this idle timeout in all answers.
+    pub fn state_keep_alive(&self, seconds: u64) {
+        *self.keep_alive_s.lock().unwrap() = Some(seconds);
+    }
+
     /// The fault with which this request is answered, if it is one of those, which are spread evenly.
     fn due_fault(&self) -> Option<Fault> {
         let mut debt = self.faulty_debt.lock().unwrap();
@@ -184,6 +192,11 @@
         if let Some(limit) = &limit {
             headers.push(("Server-Limit", limit));
         }
+        let keep_alive_s = *self.keep_alive_s.lock().unwrap();
+        let keep_alive = keep_alive_s.map(|seconds| format!("timeout={seconds}"));
+        if let Some(keep_alive) = &keep_alive {
+            headers.push(("Keep-Alive", keep_alive));
+        }
         let expected = request.header("expected-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             headers.push(("Instance-Id", &self.id));
