Review scripts: end their processes when they are stopped, and in time

A script that is stopped by a signal, or takes longer than 112 s, ends the processes that it started.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use standins::client::{self, Request};
-use standins::gateway::Gateway;
+use standins::gateway::{self, Gateway};
 use standins::record::Record;
 use standins::store::Store;
 use standins::worker::{Work, Worker, WorkerPlan};
@@ -44,7 +44,7 @@
 /// Time from the kill until the platform starts the process again, in the first round; it takes a
 /// little longer in each of the next ones, up to `DELAYS`.
 const RESTART_DELAY: Duration = Duration::from_millis(430);
-const FURTHER_DELAY_PER_ROUND: Duration = Duration::from_millis(12);
+const FURTHER_DELAY_PER_ROUND: Duration = Duration::from_millis(14);
 
 /// Time for which the traffic goes on after that.
 const TIME_AFTER_RESTART: Duration = Duration::from_millis(1_000);
@@ -52,8 +52,8 @@
 /// Time without traffic before each round.
 const PAUSE: Duration = Duration::from_millis(2_200);
 
-const ROUNDS: u32 = 24;
-const DELAYS: u32 = 12;
+const ROUNDS: u32 = 20;
+const DELAYS: u32 = 10;
 
 fn configuration() -> String {
     let route = |name: &str, kind: &str, service: &str, timeout_ms: u32, target_ms: u32| {
@@ -228,7 +228,7 @@
         record.line("the traffic has ended");
     }
     ended.store(true, Ordering::SeqCst);
-    let until = Instant::now() + Duration::from_secs(16);
+    let until = Instant::now() + Duration::from_secs(6);
     while open.load(Ordering::SeqCst) > 0 && Instant::now() < until {
         thread::sleep(Duration::from_millis(50));
     }
@@ -250,6 +250,7 @@
 }
 
 fn main() {
+    gateway::watch_time_limit();
     let mut arguments = std::env::args().skip(1);
     let folder = arguments.next().expect("folder of the record");
     let temporary = arguments.next().expect("temporary folder");
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use standins::client::{self, Request};
-use standins::gateway::Gateway;
+use standins::gateway::{self, Gateway};
 use standins::record::Record;
 use standins::store::Store;
 use standins::worker::{Work, Worker, WorkerPlan};
@@ -171,6 +171,7 @@
 }
 
 fn main() {
+    gateway::watch_time_limit();
     let mut arguments = std::env::args().skip(1);
     let folder = arguments.next().expect("folder of the record");
     let temporary = arguments.next().expect("temporary folder");
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -4,7 +4,8 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Stdio, exit};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,12 +17,32 @@
 const ZONES: [(&str, &str); 3] =
     [("casa-maarif", "casa"), ("rabat-agdal", "rabat"), ("casa-ainsebaa", "casa")];
 
+/// Time after which a case ends all its processes and gives up.
+const TIME_LIMIT: Duration = Duration::from_secs(112);
+
+/// Processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes and this one when the time limit has passed.
+pub fn watch_time_limit() {
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        for pid in RUNNING.lock().unwrap().iter() {
+            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        }
+        eprintln!("the time limit has passed");
+        exit(2);
+    });
+}
+
 pub struct Gateway {
     pub name: String,
     pub front: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// File that lists the processes that run, for the script that starts the case.
+    pids: PathBuf,
     starts: u32,
     process: Option<Child>,
 }
@@ -75,7 +96,8 @@
         let path = folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("write settings");
         let log = folder.join(format!("{name}.log"));
-        Gateway { name, front, ready, settings: path, log, starts: 0, process: None }
+        let pids = folder.join("pids");
+        Gateway { name, front, ready, settings: path, log, pids, starts: 0, process: None }
     }
 
     pub fn start(&mut self) {
@@ -92,6 +114,14 @@
             .stderr(log)
             .spawn();
         self.process = Some(child.expect("start the gateway"));
+        self.update_running(|running| running.push(self.pid()));
+    }
+
+    fn update_running(&self, update: impl FnOnce(&mut Vec<u32>)) {
+        let mut running = RUNNING.lock().unwrap();
+        update(&mut running);
+        let listed: Vec<String> = running.iter().map(u32::to_string).collect();
+        let _ = fs::write(&self.pids, listed.join("\n"));
     }
 
     pub fn pid(&self) -> u32 {
@@ -100,9 +130,11 @@
 
     /// Ends the process at once.
     pub fn kill(&mut self) {
+        let pid = self.pid();
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
+            self.update_running(|running| running.retain(|other| *other != pid));
         }
     }
 
