Take a peer's reply only if it is meant for this process and from the gateway that was asked

Cause: datagrams go to the address of a host, and a broker's reply names the request by a number that begins at 1 in each process. A broker goes on granting slots to the queued requests of a killed process; its successor at the address took them for replies to its own requests. Neither the recipient nor the sender was checked, so rejections, and the replies of bucket owners, were taken too.

Change: a datagram to one gateway ends with the id of the process that it is for; another process drops and counts it. A reply counts only from the broker or bucket owner that was asked. Numbers of requests begin at different values in each process, which covers replies of gateways of the version before.

Why it works: the id of a process is random, so no process takes what is meant for another, whatever the numbers are. The version before does not read what follows a message, and a message without a recipient is still accepted.

Tests of the encoding now encode datagrams, with and without a recipient; their assertions are otherwise the same.

--- a/components/gateway/src/allowance/local_credit.rs
+++ b/components/gateway/src/allowance/local_credit.rs
@@ -73,9 +73,10 @@
 }
 
 impl LocalCredit {
-    /// Creates empty accounts. Even shares accumulate from `now` on.
-    pub fn new(now: Instant) -> LocalCredit {
-        LocalCredit { accounts: HashMap::new(), started_at: now, last_request_number: 0 }
+    /// Creates empty accounts. Even shares accumulate from `now` on; credit requests are numbered
+    /// after `first_number`.
+    pub fn new(first_number: u32, now: Instant) -> LocalCredit {
+        LocalCredit { accounts: HashMap::new(), started_at: now, last_request_number: first_number }
     }
 
     fn account(&mut self, customer: CustomerId, now: Instant) -> &mut Account {
--- a/components/gateway/src/broker/message.rs
+++ b/components/gateway/src/broker/message.rs
@@ -163,7 +163,7 @@
     }
 }
 
-/// Datagram between gateways.
+/// Message between gateways.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Periodic digest for all other gateways.
@@ -263,39 +263,66 @@
     }
 }
 
-impl Message {
-    /// Encodes the message as a datagram.
+/// A message as it is sent, with the process that it is for.
+///
+/// A process that starts at the address of one that was killed gets the datagrams that peers still
+/// send to that one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Datagram {
+    /// Process that the message is for; `None` if it is for all gateways, or comes from a version
+    /// that did not name it.
+    pub recipient: Option<PeerId>,
+    /// The message.
+    pub message: Message,
+}
+
+impl Datagram {
+    /// A message to one process.
+    pub fn to(recipient: PeerId, message: Message) -> Datagram {
+        Datagram { recipient: Some(recipient), message }
+    }
+
+    /// A message to all gateways that it is sent to.
+    pub fn to_all(message: Message) -> Datagram {
+        Datagram { recipient: None, message }
+    }
+
+    /// Encodes the datagram. The recipient comes last, where an earlier version does not read it.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        let bytes = postcard::to_extend(self, vec![FORMAT])?;
-        match self {
-            Message::Digest(digest) => {
-                let bytes = postcard::to_extend(&digest.extension, bytes)?;
-                match digest.extension.gateway_count {
-                    Some(count) => Ok(postcard::to_extend(&count, bytes)?),
-                    None => Ok(bytes),
-                }
-            }
-            Message::SlotRequest { job, .. } => Ok(postcard::to_extend(&job.extension, bytes)?),
-            _ => Ok(bytes),
+        let bytes = postcard::to_extend(&self.message, vec![FORMAT])?;
+        let bytes = match &self.message {
+            Message::Digest(digest) => encode_digest_extension(&digest.extension, bytes)?,
+            Message::SlotRequest { job, .. } => postcard::to_extend(&job.extension, bytes)?,
+            _ => bytes,
+        };
+        match self.recipient {
+            Some(recipient) => Ok(postcard::to_extend(&recipient, bytes)?),
+            None => Ok(bytes),
         }
     }
 
     /// Decodes a datagram.
-    pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+    pub fn decode(bytes: &[u8]) -> Result<Datagram, MessageError> {
         let Some((&FORMAT, message)) = bytes.split_first() else {
             return Err(MessageError("the datagram is of another format".to_owned()));
         };
-        let (mut message, rest) = postcard::take_from_bytes(message)?;
-        if !rest.is_empty() {
-            match &mut message {
-                Message::Digest(digest) => digest.extension = decode_digest_extension(rest)?,
-                Message::SlotRequest { job, .. } => job.extension = postcard::from_bytes(rest)?,
-                _ => {}
+        let (mut message, mut rest) = postcard::take_from_bytes(message)?;
+        match &mut message {
+            Message::Digest(digest) if !rest.is_empty() => {
+                digest.extension = decode_digest_extension(rest)?;
+                return Ok(Datagram::to_all(message));
             }
+            Message::SlotRequest { job, .. } if !rest.is_empty() => {
+                (job.extension, rest) = postcard::take_from_bytes(rest)?;
+            }
+            _ => {}
         }
-        Ok(message)
+        let recipient = if rest.is_empty() { None } else { Some(postcard::from_bytes(rest)?) };
+        Ok(Datagram { recipient, message })
     }
+}
 
+impl Message {
     /// Gateway process that sent the message.
     pub fn sender(&self) -> PeerId {
         match self {
@@ -313,6 +340,17 @@
     }
 }
 
+fn encode_digest_extension(
+    extension: &DigestExtension,
+    bytes: Vec<u8>,
+) -> Result<Vec<u8>, MessageError> {
+    let bytes = postcard::to_extend(extension, bytes)?;
+    match extension.gateway_count {
+        Some(count) => Ok(postcard::to_extend(&count, bytes)?),
+        None => Ok(bytes),
+    }
+}
+
 /// Decodes the fields that follow a digest: those of the version before, then those that this one
 /// has in addition.
 fn decode_digest_extension(bytes: &[u8]) -> Result<DigestExtension, MessageError> {
--- a/components/gateway/src/broker/mod.rs
+++ b/components/gateway/src/broker/mod.rs
@@ -24,7 +24,9 @@
 };
 
 pub use election::{ElectionKey, rank_candidates};
-pub use message::{JobExtension, Message, MessageError, SlotReply, SlotRequestId, WireJob};
+pub use message::{
+    Datagram, JobExtension, Message, MessageError, SlotReply, SlotRequestId, WireJob,
+};
 pub use peer_health::PeerHealth;
 
 /// Time for which an assigned slot may be missing from its holder's list: the reply has to arrive
--- a/components/gateway/src/runtime/allowance.rs
+++ b/components/gateway/src/runtime/allowance.rs
@@ -46,6 +46,12 @@
     },
 }
 
+/// A credit request whose reply is awaited.
+pub(super) struct AwaitedCredit {
+    owner: PeerId,
+    reply: oneshot::Sender<CreditReply>,
+}
+
 /// A credit request sent to a bucket owner. Dropping it before it is completed records it
 /// as unanswered.
 struct PendingCreditRequest<'a> {
@@ -172,7 +178,8 @@
             return None;
         }
         let (sender, mut reply) = oneshot::channel();
-        self.pending_credit_requests.borrow_mut().insert(request.number, sender);
+        let awaited = AwaitedCredit { owner, reply: sender };
+        self.pending_credit_requests.borrow_mut().insert(request.number, awaited);
         let mut pending = PendingCreditRequest { shared: self, request, completed: false };
         for _ in 0..CREDIT_REQUEST_ATTEMPTS {
             self.send_message(owner, Message::CreditRequest { from: self.process_id, request });
@@ -261,12 +268,15 @@
         self.bucket_owner.borrow_mut().handle_request(from, request, terms, bucket_role, now)
     }
 
-    /// Passes a bucket owner's reply on to the waiting request. A late reply is dropped: the
+    /// Passes a bucket owner's reply on to the request that waits for it. A late reply is dropped: the
     /// request has been decided from the gateway's even share, and must not be granted from both.
-    pub(super) fn handle_credit_reply(&self, number: u32, reply: CreditReply) {
-        if let Some(sender) = self.pending_credit_requests.borrow_mut().remove(&number)
-            && sender.send(reply).is_err()
-        {
+    pub(super) fn handle_credit_reply(&self, owner: PeerId, number: u32, reply: CreditReply) {
+        let mut pending = self.pending_credit_requests.borrow_mut();
+        if pending.get(&number).is_none_or(|awaited| awaited.owner != owner) {
+            return;
+        }
+        let awaited = pending.remove(&number);
+        if awaited.is_some_and(|awaited| awaited.reply.send(reply).is_err()) {
             log::debug!("credit.dropped number={number}");
         }
     }
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -27,6 +27,8 @@
     held_bytes: IntGauge,
     slot_replies: IntCounterVec,
     pub(super) upstream_connections: IntCounter,
+    /// Messages of peers that are meant for another process.
+    pub(super) misaddressed_messages: IntCounter,
 }
 
 impl Metrics {
@@ -61,6 +63,10 @@
             "dragonflyfront_gateway_upstream_connections_total",
             "Connections opened to upstreams",
         )?;
+        let misaddressed_messages = IntCounter::new(
+            "dragonflyfront_gateway_misaddressed_messages_total",
+            "Messages of other gateways that were meant for another process",
+        )?;
         registry.register(Box::new(responses.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
         let quarantined_parts =
@@ -87,6 +93,7 @@
         }
         registry.register(Box::new(slot_replies.clone()))?;
         registry.register(Box::new(upstream_connections.clone()))?;
+        registry.register(Box::new(misaddressed_messages.clone()))?;
         Ok(Metrics {
             registry,
             responses,
@@ -102,6 +109,7 @@
             held_bytes,
             slot_replies,
             upstream_connections,
+            misaddressed_messages,
         })
     }
 
--- a/components/gateway/src/runtime/peer_socket.rs
+++ b/components/gateway/src/runtime/peer_socket.rs
@@ -1,4 +1,8 @@
 //! Exchange of datagrams with other gateways.
+//!
+//! Load pattern: gateways are killed in a burst and start again at their addresses, while their
+//! peers still reply to requests of the killed processes. What is meant for another process is
+//! dropped.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -12,7 +16,7 @@
 
 use super::directory::STORE_LOST_AFTER;
 use super::state::{Shared, SharedRef};
-use crate::broker::Message;
+use crate::broker::{Datagram, Message};
 use crate::model::PeerId;
 use crate::peers::{Digest, DigestExtension, Recipients};
 use crate::read_schedule::PeerRead;
@@ -103,11 +107,11 @@
             return;
         }
         let Some((address, _)) = self.peers.borrow().locate(to) else { return };
-        self.send_datagrams(&message, &[address]);
+        self.send_datagram(&Datagram::to(to, message), &[address]);
     }
 
-    fn send_datagrams(&self, message: &Message, addresses: &[SocketAddr]) {
-        let bytes = match message.encode() {
+    fn send_datagram(&self, datagram: &Datagram, addresses: &[SocketAddr]) {
+        let bytes = match datagram.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
                 warn!("message.encode error={error}");
@@ -137,7 +141,9 @@
             }
             Message::SharedRead { read, .. } => self.handle_shared_read(read),
             Message::CreditRequest { from, request } => self.handle_credit_request(from, request),
-            Message::CreditReply { number, reply, .. } => self.handle_credit_reply(number, reply),
+            Message::CreditReply { from, number, reply } => {
+                self.handle_credit_reply(from, number, reply);
+            }
             Message::BucketLevels { levels, handed_over, .. } => {
                 self.handle_bucket_levels(&levels, handed_over);
             }
@@ -170,7 +176,7 @@
         let addresses = self.peers.borrow().addresses(recipients, self.clock.now());
         if !addresses.is_empty() {
             let digest = self.digest(sequence, acknowledged);
-            self.send_datagrams(&Message::Digest(digest), &addresses);
+            self.send_datagram(&Datagram::to_all(Message::Digest(digest)), &addresses);
         }
     }
 
@@ -191,7 +197,8 @@
     pub(super) fn share_with_zone(&self, read: SharedRead) {
         let zone = Recipients::Zone(&self.own_zone);
         let addresses = self.peers.borrow().addresses(zone, self.clock.now());
-        self.send_datagrams(&Message::SharedRead { from: self.process_id, read }, &addresses);
+        let message = Message::SharedRead { from: self.process_id, read };
+        self.send_datagram(&Datagram::to_all(message), &addresses);
     }
 
     /// Applies a read of a peer if it continues where this gateway's knowledge ends. Otherwise this
@@ -292,8 +299,8 @@
     }
 
     fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) {
-        let message = match Message::decode(bytes) {
-            Ok(message) => message,
+        let Datagram { recipient, message } = match Datagram::decode(bytes) {
+            Ok(datagram) => datagram,
             Err(error) => {
                 debug!("message.decode from={from} error={error}");
                 return;
@@ -305,6 +312,11 @@
             return;
         };
         self.peers.borrow_mut().record_contact(from, self.clock.now());
+        if recipient.is_some_and(|recipient| recipient != self.process_id) {
+            self.metrics.misaddressed_messages.inc();
+            debug!("message.misaddressed from={from} recipient={recipient:?}");
+            return;
+        }
         self.handle_message(message, zone);
     }
 
--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -330,8 +330,8 @@
         }
     }
 
-    /// Passes a broker's reply on to the waiting request. A slot that is granted without a waiting
-    /// request is released again.
+    /// Passes a broker's reply on to the request that waits for it. A slot that is granted without a
+    /// waiting request is released again.
     pub(super) fn handle_slot_reply(
         &self,
         broker: PeerId,
@@ -346,6 +346,7 @@
             .pending_slot_requests
             .borrow()
             .get(&request_id)
+            .filter(|awaited| awaited.broker == broker)
             .is_some_and(|awaited| awaited.replies.send(reply).is_ok());
         if granted && !delivered && !self.held_slots.borrow().contains_key(&request_id) {
             self.send_release(
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -12,15 +12,16 @@
 use link::{Pool, Timeouts};
 use log::info;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, oneshot};
 
 use super::Gateway;
+use super::allowance::AwaitedCredit;
 use super::crash_checks::CrashChecks;
 use super::metrics::Metrics;
 use super::stream_versions::StreamVersions;
 use crate::Settings;
-use crate::allowance::{BucketOwner, CreditReply, CustomerId, LocalCredit};
+use crate::allowance::{BucketOwner, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
 use crate::byte_budget::ByteBudget;
 use crate::crash_quarantine::CrashQuarantine;
@@ -116,7 +117,7 @@
     /// Credit that bucket owners have granted to this gateway.
     pub(super) local_credit: RefCell<LocalCredit>,
     /// Requests that wait for credit, by the number of their credit request.
-    pub(super) pending_credit_requests: RefCell<HashMap<u32, oneshot::Sender<CreditReply>>>,
+    pub(super) pending_credit_requests: RefCell<HashMap<u32, AwaitedCredit>>,
     pub(super) retry_budget: RefCell<RetryBudget>,
     pub(super) peers: RefCell<Peers>,
     pub(super) close_idle_notify: Notify,
@@ -163,6 +164,9 @@
     pub(super) fn new(gateway: Gateway, socket: UdpSocket) -> Result<Shared> {
         let Gateway { settings, process_id, header_codec, clock } = gateway;
         let now = clock.now();
+        // Peers of the version before do not name the process that they reply to. Processes at one
+        // address therefore begin to number their requests at different values.
+        let first_number = process_id as u32;
         Ok(Shared {
             own_zone: settings.topology.own_zone.as_str().into(),
             socket,
@@ -171,7 +175,7 @@
             candidate_ids: RefCell::default(),
             peer_health: RefCell::default(),
             pending_slot_requests: RefCell::default(),
-            last_slot_request_id: Cell::new(0),
+            last_slot_request_id: Cell::new(first_number),
             last_digest_sequence: Cell::new(0),
             was_leaving: Cell::new(false),
             held_slots: RefCell::default(),
@@ -190,7 +194,7 @@
             key_confirmation: Cell::default(),
             store_lag: Cell::default(),
             bucket_owner: RefCell::new(BucketOwner::new(now)),
-            local_credit: RefCell::new(LocalCredit::new(now)),
+            local_credit: RefCell::new(LocalCredit::new(first_number, now)),
             pending_credit_requests: RefCell::default(),
             peers: RefCell::default(),
             close_idle_notify: Notify::new(),
--- a/components/gateway/tests/allowance/buckets.rs
+++ b/components/gateway/tests/allowance/buckets.rs
@@ -221,7 +221,7 @@
 fn units_granted_from_even_shares_are_deducted_later() {
     let start = Instant::now();
     let now = start + Duration::from_secs(5);
-    let mut local_credit = LocalCredit::new(start);
+    let mut local_credit = LocalCredit::new(0, start);
     let cost = ALLOWANCE.per_second / 30.0 / 2.0;
     assert_eq!(
         local_credit.acquire_from_share(customer(), ALLOWANCE, cost, 30, now),
@@ -282,7 +282,7 @@
 #[test]
 fn credit_expires() {
     let now = Instant::now();
-    let mut local_credit = LocalCredit::new(now);
+    let mut local_credit = LocalCredit::new(0, now);
     local_credit.apply_reply(&request_of(0.0), Some(CreditReply::Granted(9_000.0)), now);
     assert_eq!(local_credit.acquire(customer(), 5_000.0, now), Acquisition::Granted);
     let later = now + Duration::from_millis(1_100);
@@ -295,7 +295,7 @@
 #[test]
 fn refunded_credit_can_be_acquired_again() {
     let now = Instant::now();
-    let mut local_credit = LocalCredit::new(now);
+    let mut local_credit = LocalCredit::new(0, now);
     local_credit.apply_reply(&request_of(0.0), Some(CreditReply::Granted(5_000.0)), now);
     assert_eq!(local_credit.acquire(customer(), 5_000.0, now), Acquisition::Granted);
     assert!(matches!(
--- a/components/gateway/tests/allowance/fleet.rs
+++ b/components/gateway/tests/allowance/fleet.rs
@@ -100,7 +100,7 @@
             gateways,
             start,
             step: 0,
-            local_credits: (0..gateways).map(|_| LocalCredit::new(start)).collect(),
+            local_credits: (0..gateways).map(|_| LocalCredit::new(0, start)).collect(),
             bucket_owners: (0..gateways).map(|_| BucketOwner::new(start)).collect(),
             owner_of: vec![0; gateways],
             in_transit: VecDeque::new(),
@@ -295,7 +295,7 @@
     fn apply_faults(&mut self) {
         let now = self.now();
         if self.faults.replace_all == Some(self.step) {
-            self.local_credits = (0..self.gateways).map(|_| LocalCredit::new(now)).collect();
+            self.local_credits = (0..self.gateways).map(|_| LocalCredit::new(0, now)).collect();
             self.bucket_owners = (0..self.gateways).map(|_| BucketOwner::new(now)).collect();
             self.pending_requests.clear();
         }
--- a/components/gateway/tests/message.rs
+++ b/components/gateway/tests/message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gateway::allowance::{BucketLevel, CreditReply, CreditRequest, CustomerId};
-use gateway::broker::{JobExtension, Message, SlotReply, WireJob};
+use gateway::broker::{Datagram, JobExtension, Message, SlotReply, WireJob};
 use gateway::model::{Position, ServiceId, UpstreamId, VersionId};
 use gateway::scheduler::{AttemptOutcome, Observation, Priority, RouteId};
 use gateway::shared_read::{SharedChange, SharedRead};
@@ -92,9 +92,32 @@
         },
     ];
     for message in messages {
-        let bytes = message.encode().expect("encodes");
-        assert_eq!(Message::decode(&bytes), Ok(message));
-        assert!(Message::decode(&bytes[..2]).is_err());
+        let to_all = Datagram::to_all(message.clone());
+        let to_one = Datagram::to(GATEWAY_B, message);
+        for datagram in [to_all, to_one] {
+            let bytes = datagram.encode().expect("encodes");
+            assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+            assert!(Datagram::decode(&bytes[..2]).is_err());
+        }
+    }
+}
+
+/// Guards against gateways that do not understand each other during an update: one of the version
+/// before reads the message alone, and does not name the recipient itself.
+#[test]
+fn the_recipient_cannot_be_skipped_by_the_version_before() {
+    let reply = SlotReply::Granted { upstream: UpstreamId(7) };
+    let messages = [
+        Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job() },
+        Message::SlotReply { from: GATEWAY_A, request_id: 3, reply },
+    ];
+    for message in messages {
+        let before = Datagram::to_all(message.clone()).encode().expect("encodes");
+        assert_eq!(Datagram::decode(&before), Ok(Datagram::to_all(message.clone())));
+        let long_id = u64::MAX;
+        let bytes = Datagram::to(long_id, message).encode().expect("encodes");
+        assert_eq!(bytes[..before.len()], before, "what the version before reads");
+        assert!(Datagram::decode(&bytes[..bytes.len() - 1]).is_err(), "half of a recipient");
     }
 }
 
@@ -103,25 +126,28 @@
 #[test]
 fn a_datagram_of_another_format_is_rejected() {
     let reply = SlotReply::Queued;
-    let message = Message::SlotReply { from: GATEWAY_A, request_id: 3, reply };
-    let bytes = message.encode().expect("encodes");
-    assert_eq!(Message::decode(&bytes), Ok(message));
-    assert!(Message::decode(&bytes[1..]).is_err(), "the first format had no format byte");
-    assert!(Message::decode(&[]).is_err());
+    let datagram = Datagram::to_all(Message::SlotReply { from: GATEWAY_A, request_id: 3, reply });
+    let bytes = datagram.encode().expect("encodes");
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+    assert!(Datagram::decode(&bytes[1..]).is_err(), "the first format had no format byte");
+    assert!(Datagram::decode(&[]).is_err());
     let mut other = bytes.clone();
     other[0] += 1;
-    assert!(Message::decode(&other).is_err());
+    assert!(Datagram::decode(&other).is_err());
 }
 
 /// Guards against gateways that get no slots while one of the version before is the broker, or the
 /// other way round.
 #[test]
 fn a_slot_request_of_another_software_version_cannot_be_read() {
-    let request = Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job() };
+    let message = Message::SlotRequest { from: GATEWAY_A, request_id: 3, job: job() };
+    let request = Datagram::to_all(message.clone());
     let mut bytes = request.encode().expect("encodes");
     let extension_bytes = 1;
     bytes.truncate(bytes.len() - extension_bytes);
-    assert_eq!(Message::decode(&bytes), Ok(request.clone()), "from the version before");
+    assert_eq!(Datagram::decode(&bytes), Ok(request), "from the version before");
+    // No version, the recipient 200, and a field that this version does not know.
     bytes.extend([0, 200, 1, 7]);
-    assert_eq!(Message::decode(&bytes), Ok(request), "from a later version");
+    let request = Datagram::to(200, message);
+    assert_eq!(Datagram::decode(&bytes), Ok(request), "from a later version");
 }
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::broker::Message;
+use gateway::broker::{Datagram, Message};
 use gateway::crash_quarantine::{BrokenAttempt, QuarantineNews};
 use gateway::model::{Position, RequestHash, UpstreamId};
 use gateway::peers::{Digest, DigestExtension, Member, Peers, Recipients};
@@ -84,18 +84,18 @@
 
 #[test]
 fn a_digest_round_trips_through_its_encoding() {
-    let message = Message::Digest(digest());
-    let bytes = message.encode().expect("encodes");
-    assert_eq!(Message::decode(&bytes), Ok(message));
-    assert!(Message::decode(&bytes[..3]).is_err());
+    let datagram = Datagram::to_all(Message::Digest(digest()));
+    let bytes = datagram.encode().expect("encodes");
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+    assert!(Datagram::decode(&bytes[..3]).is_err());
 }
 
 /// Gateways of two versions run beside each other while they are replaced one after the other.
 #[test]
 fn gateways_do_not_understand_digests_of_the_version_before_or_after() {
     let earlier = Digest { extension: DigestExtension::default(), ..digest() };
-    let message = Message::Digest(digest());
-    let bytes = message.encode().expect("encodes");
+    let datagram = Datagram::to_all(Message::Digest(digest()));
+    let bytes = datagram.encode().expect("encodes");
     // The version before decodes what follows the format byte and does not look at the rest.
     assert_eq!(postcard::from_bytes(&bytes[1..]), Ok(Message::Digest(earlier.clone())));
     let extension = postcard::to_stdvec(&digest().extension).expect("encodes");
@@ -103,14 +103,14 @@
     let of_version_before = &bytes[..bytes.len() - count_bytes];
     let uncounted = DigestExtension { gateway_count: None, ..digest().extension };
     let before = Digest { extension: uncounted, ..digest() };
-    assert_eq!(Message::decode(of_version_before), Ok(Message::Digest(before)));
+    assert_eq!(Datagram::decode(of_version_before), Ok(Datagram::to_all(Message::Digest(before))));
     let without_extension = &bytes[..bytes.len() - count_bytes - extension.len()];
-    assert_eq!(Message::decode(without_extension), Ok(Message::Digest(earlier)));
+    assert_eq!(Datagram::decode(without_extension), Ok(Datagram::to_all(Message::Digest(earlier))));
     let mut of_version_after = bytes.clone();
     of_version_after.extend([1, 2, 3]);
-    assert_eq!(Message::decode(&of_version_after), Ok(message));
-    assert!(Message::decode(&bytes[..bytes.len() - 1]).is_err(), "half of a field");
-    assert!(Message::decode(&of_version_before[..of_version_before.len() - 1]).is_err());
+    assert_eq!(Datagram::decode(&of_version_after), Ok(datagram));
+    assert!(Datagram::decode(&bytes[..bytes.len() - 1]).is_err(), "half of a field");
+    assert!(Datagram::decode(&of_version_before[..of_version_before.len() - 1]).is_err());
 }
 
 #[test]
