Refuse a slot at an upstream that does not belong to the request's service

Cause: accept_slot, the one place that all ways to an upstream pass, checked the version, pauses and limits of an upstream, but not its service, and the request then names that instance itself, so the upstream runs it.

Change: such a slot is released, and the request asks again without that upstream; slot.unusable says of_other_service.

Why it works: SlotGuard is created nowhere else.

--- a/components/gateway/src/runtime/slots.rs
+++ b/components/gateway/src/runtime/slots.rs
@@ -186,7 +186,7 @@
             !upstream.draining
                 && !excluded.contains(id)
                 && has_version(job, upstream)
-                && ServiceId::of(&upstream.service) == job.service
+                && is_of_service(job, upstream)
         };
         let usable = upstreams.iter().filter(is_usable).map(|(id, _)| *id);
         notices.decide(usable, job.queue_deadline, now)
@@ -208,9 +208,9 @@
         }
     }
 
-    /// Accepts a slot that a broker granted. Releases it and returns `None` if its upstream is
-    /// gone, draining, of another version or has asked for a pause, or has a limit and the grant is
-    /// old.
+    /// Accepts a slot that a broker granted, the only way to an upstream. Releases it and returns
+    /// `None` if its upstream is of another service, gone, draining, of another version or has asked
+    /// for a pause, or has a limit and the grant is old.
     fn accept_slot(
         self: &Rc<Self>,
         broker: PeerId,
@@ -223,10 +223,16 @@
         let is_paused = self.upstream_notices.borrow().is_paused(upstream, self.clock.now());
         let is_valid = self.upstream_limits.borrow().may_use_grant(upstream, max_age);
         let may_use = |upstream: &Upstream| {
-            !upstream.draining && !is_paused && is_valid && has_version(job, upstream)
+            is_of_service(job, upstream)
+                && !upstream.draining
+                && !is_paused
+                && is_valid
+                && has_version(job, upstream)
         };
+        let is_foreign = known.as_ref().is_some_and(|upstream| !is_of_service(job, upstream));
         let Some(usable) = known.filter(may_use) else {
-            info!("slot.unusable broker={broker} upstream={}", upstream.0);
+            let id = upstream.0;
+            info!("slot.unusable broker={broker} upstream={id} of_other_service={is_foreign}");
             self.send_release(
                 broker,
                 request_id,
@@ -358,6 +364,11 @@
     }
 }
 
+/// Whether an upstream belongs to the service that handles a request.
+fn is_of_service(job: &Job, upstream: &Upstream) -> bool {
+    ServiceId::of(&upstream.service) == job.service
+}
+
 /// Whether an upstream has the software version that a request needs.
 fn has_version(job: &Job, upstream: &Upstream) -> bool {
     job.version.is_none_or(|version| version == upstream.version_id())
