--- a/components/gateway/src/runtime/directory.rs
+++ b/components/gateway/src/runtime/directory.rs
@@ -181,6 +181,10 @@
         self.rewrite_stream_records();
     }
 
+    fn record_refused_page(&self) {
+        self.metrics.refused_store_pages.inc();
+    }
+
     fn mark_store_lost(&self, reason: &str) {
         self.read_schedule.borrow_mut().set_store_unreachable(true);
         let age = self.freshness.get().age(self.clock.uptime());
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -29,6 +29,8 @@
     pub(super) upstream_connections: IntCounter,
     /// Messages of peers that are meant for another process.
     pub(super) misaddressed_messages: IntCounter,
+    /// Reads of the store that ended at a page that it does not serve.
+    pub(super) refused_store_pages: IntCounter,
 }
 
 impl Metrics {
@@ -67,6 +69,10 @@
             "dragonflyfront_gateway_misaddressed_messages_total",
             "Messages of other gateways that were meant for another process",
         )?;
+        let refused_store_pages = IntCounter::new(
+            "dragonflyfront_gateway_refused_store_pages_total",
+            "Reads of everything that ended at a page that the store does not serve",
+        )?;
         registry.register(Box::new(responses.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
         let quarantined_parts =
@@ -94,6 +100,7 @@
         registry.register(Box::new(slot_replies.clone()))?;
         registry.register(Box::new(upstream_connections.clone()))?;
         registry.register(Box::new(misaddressed_messages.clone()))?;
+        registry.register(Box::new(refused_store_pages.clone()))?;
         Ok(Metrics {
             registry,
             responses,
@@ -110,6 +117,7 @@
             slot_replies,
             upstream_connections,
             misaddressed_messages,
+            refused_store_pages,
         })
     }
 
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -109,6 +109,8 @@
     );
     /// Records that the store no longer holds the streams of this gateway.
     fn mark_stream_records_lost(&self);
+    /// Records that the store serves everything but one page, without which what it holds is unknown.
+    fn record_refused_page(&self);
     /// Records that the store cannot be reached from here. It counts as lost once it has confirmed
     /// nothing to any gateway of the zone for some time.
     fn mark_store_lost(&self, reason: &str);
