Take a response for broken if its connection is reset during the upload

Cause: ntex's client does not tell a reset from a close in all cases for a body without a length. A write that meets the reset consumes the error; the next read looks like a clean end.

Change: web::Client opens its connections through link (hyper). Why it works: there an error of a write ends the response with an error before the next read.

--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -1,17 +1,23 @@
-//! HTTP client: ntex on its own thread, reached over a channel from any runtime.
+//! HTTP client on its own thread, reached over a channel from any runtime.
+//!
+//! Load pattern: servers that answer a long upload at once, without a length, and reset the connection
+//! while the upload is still being written. ntex's client ends the body then as if it were complete,
+//! so that the connections are those of `link`.
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
-use anyhow::{Result, anyhow};
+use anyhow::Result;
 use bytes::Bytes;
-use futures_util::StreamExt;
-use link::{TransferLimits, TransferProgress};
-use ntex::time::Millis;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout_at;
+use http::header::HOST;
+use http_body_util::{BodyExt, Full};
+use link::{Connection, LinkError, LinkResponse, Pool, Timeouts, TransferLimits, TransferProgress};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{Headers, Request};
 
@@ -21,6 +27,16 @@
 /// Maximum number of connections that the client has open at the same time.
 const CONNECTION_LIMIT: usize = 4096;
 
+/// Time that an idle connection is kept, shorter than servers usually do.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// Timeouts of connections. Callers limit the whole exchange themselves.
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(1_000),
+    unacknowledged: Duration::from_secs(15),
+    keepalive_interval: Duration::from_secs(5),
+};
+
 /// HTTP client; clones share one thread and its connections.
 #[derive(Clone)]
 pub struct Client {
@@ -47,6 +63,15 @@
 
 impl std::error::Error for ClientError {}
 
+impl From<LinkError> for ClientError {
+    fn from(error: LinkError) -> ClientError {
+        match error {
+            LinkError::NotSent(reason) | LinkError::Refused(reason) => ClientError::NotSent(reason),
+            LinkError::Unknown(reason) => ClientError::Unknown(reason),
+        }
+    }
+}
+
 /// Response head with a streamed body.
 #[derive(Debug)]
 pub struct ClientResponse {
@@ -99,12 +124,10 @@
     /// Starts the client thread.
     pub fn spawn() -> Result<Client> {
         let (jobs, queue) = mpsc::unbounded_channel();
-        let (started, startup) = std::sync::mpsc::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("http-client".to_owned()).spawn(move || {
-            let system = ntex::rt::System::new("http-client", ntex::rt::DefaultRuntime);
-            system.block_on(run_client(queue, started));
+            LocalSet::new().block_on(&runtime, run_client(queue));
         })?;
-        startup.recv().map_err(|_| anyhow!("the HTTP client thread ended during startup"))??;
         Ok(Client { jobs })
     }
 
@@ -128,108 +151,135 @@
     }
 }
 
-async fn run_client(
-    mut queue: mpsc::UnboundedReceiver<Job>,
-    started: std::sync::mpsc::Sender<Result<()>>,
-) {
-    let connector = ntex::client::Connector::default().limit(CONNECTION_LIMIT);
-    let builder = ntex::client::Client::builder()
-        .disable_timeout()
-        .disable_redirects()
-        .connector::<()>(connector);
-    let client = match builder.build(ntex::SharedCfg::default()).await {
-        Ok(client) => client,
-        Err(error) => {
-            let _ = started.send(Err(anyhow!("HTTP client cannot be created: {error:?}")));
-            return;
+/// Connections of the client thread.
+struct Connections {
+    idle: Pool,
+    /// Permits for connections that are in use.
+    limit: Semaphore,
+}
+
+async fn run_client(mut queue: mpsc::UnboundedReceiver<Job>) {
+    let limit = Semaphore::new(CONNECTION_LIMIT);
+    let connections = Rc::new(Connections { idle: Pool::default(), limit });
+    let mut eviction = tokio::time::interval(MAX_IDLE);
+    loop {
+        tokio::select! {
+            job = queue.recv() => match job {
+                Some(job) => {
+                    tokio::task::spawn_local(perform_job(connections.clone(), job));
+                }
+                None => return,
+            },
+            _ = eviction.tick() => connections.idle.evict_expired(Instant::now().into_std()),
         }
-    };
-    let _ = started.send(Ok(()));
-    while let Some(job) = queue.recv().await {
-        ntex::rt::spawn(perform_job(client.clone(), job));
     }
 }
 
-async fn perform_job(client: ntex::client::Client, mut job: Job) {
-    let exchange = send_request(&client, job.address, job.request, job.head_timeout);
+async fn perform_job(connections: Rc<Connections>, job: Job) {
+    let Job { address, request, head_timeout, mut reply } = job;
+    let exchange = async {
+        let permit = connections.limit.acquire().await;
+        let deadline = Instant::now() + head_timeout;
+        let sent = send_request(&connections.idle, address, &request, deadline).await;
+        sent.map(|sent| (permit, sent))
+    };
     let result = tokio::select! {
         result = exchange => result,
-        () = job.reply.closed() => return,
+        () = reply.closed() => return,
     };
-    let (response, head) = match result {
-        Ok(response) => response,
+    let (_permit, (connection, response)) = match result {
+        Ok(sent) => sent,
         Err(error) => {
-            let _ = job.reply.send(Err(error));
+            let _ = reply.send(Err(error));
             return;
         }
     };
+    let (head, incoming) = response.into_parts();
+    let mut headers = Headers::default();
+    for (name, value) in &head.headers {
+        if let Ok(value) = value.to_str() {
+            headers.push(name.as_str(), value);
+        }
+    }
     let (chunks, body) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-    let client_response = ClientResponse { status: head.0, headers: head.1, body };
-    if job.reply.send(Ok(client_response)).is_ok() {
-        forward_body(response, chunks).await;
+    let client_response = ClientResponse { status: head.status.as_u16(), headers, body };
+    if reply.send(Ok(client_response)).is_ok() && forward_body(incoming, chunks).await {
+        connections.idle.put(address, connection, Instant::now().into_std(), MAX_IDLE);
     }
 }
 
-/// Status and headers of a response.
-type ResponseHead = (u16, Headers);
-
+/// Sends a request on an idle connection, or on a new one, and waits for the head of its response.
 async fn send_request(
-    client: &ntex::client::Client,
+    idle: &Pool,
     address: SocketAddr,
-    request: Request,
-    head_timeout: Duration,
-) -> Result<(ntex::client::ClientResponse, ResponseHead), ClientError> {
-    let mut url = format!("http://{address}{}", request.path);
-    if !request.query.is_empty() {
-        url.push('?');
-        url.push_str(&request.query);
-    }
-    let method = ntex::http::Method::from_bytes(request.method.as_bytes())
-        .map_err(|error| ClientError::NotSent(error.to_string()))?;
-    let mut outgoing = client.request(method, url.as_str());
-    for (name, value) in request.headers.iter() {
-        outgoing = outgoing.header(name, value);
-    }
-    let timeout = Millis::from(head_timeout);
-    let body = ntex::util::Bytes::copy_from_slice(&request.body);
-    let response =
-        outgoing.timeout(timeout).send_body(body).await.map_err(|error| classify_error(&error))?;
-    let mut headers = Headers::default();
-    for (name, value) in response.headers() {
-        if let Ok(value) = value.to_str() {
-            headers.push(name.as_str(), value);
+    request: &Request,
+    deadline: Instant,
+) -> Result<(Connection, LinkResponse), ClientError> {
+    if let Some(connection) = idle.take(address, Instant::now().into_std(), MAX_IDLE) {
+        match send_on(connection, address, request, deadline).await {
+            // The server has closed the connection in the meantime.
+            Err(ClientError::NotSent(_)) => {}
+            result => return result,
         }
     }
-    let status = response.status().as_u16();
-    Ok((response, (status, headers)))
+    let connection = link::connect(address, TIMEOUTS).await?;
+    send_on(connection, address, request, deadline).await
 }
 
-fn classify_error(error: &ntex::client::error::ClientError) -> ClientError {
-    use ntex::client::error::ClientError as NtexError;
-    let reason = format!("{error:?}");
-    match error {
-        NtexError::Connect(_) => ClientError::NotSent(reason),
-        _ => ClientError::Unknown(reason),
+async fn send_on(
+    mut connection: Connection,
+    address: SocketAddr,
+    request: &Request,
+    deadline: Instant,
+) -> Result<(Connection, LinkResponse), ClientError> {
+    let encoded = encode_request(address, request)
+        .map_err(|error| ClientError::NotSent(error.to_string()))?;
+    let response = timeout_at(deadline, connection.send(encoded)).await;
+    let timed_out = |_| ClientError::Unknown("no response within the timeout".to_owned());
+    Ok((connection, response.map_err(timed_out)??))
+}
+
+fn encode_request(
+    address: SocketAddr,
+    request: &Request,
+) -> Result<http::Request<Full<Bytes>>, http::Error> {
+    let mut target = request.path.clone();
+    if !request.query.is_empty() {
+        target.push('?');
+        target.push_str(&request.query);
     }
+    let mut encoded = http::Request::builder().method(request.method.as_str()).uri(target);
+    if request.headers.get(HOST.as_str()).is_none() {
+        encoded = encoded.header(HOST, address.to_string());
+    }
+    for (name, value) in request.headers.iter() {
+        encoded = encoded.header(name, value);
+    }
+    encoded.body(Full::new(request.body.clone()))
 }
 
+/// Passes on the chunks of a body. Returns whether it has ended, so that its connection can be used
+/// again.
 async fn forward_body(
-    mut response: ntex::client::ClientResponse,
+    mut body: hyper::body::Incoming,
     chunks: mpsc::Sender<Result<Bytes, ClientError>>,
-) {
+) -> bool {
     loop {
-        let chunk = tokio::select! {
-            chunk = response.next() => chunk,
-            () = chunks.closed() => return,
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = chunks.closed() => return false,
         };
-        let chunk = match chunk {
-            None => return,
-            Some(Ok(chunk)) => Ok(Bytes::copy_from_slice(&chunk)),
-            Some(Err(error)) => Err(ClientError::Unknown(format!("{error:?}"))),
+        let chunk = match frame {
+            None => return true,
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(chunk) => Ok(chunk),
+                Err(_) => continue,
+            },
+            Some(Err(error)) => Err(ClientError::Unknown(error.to_string())),
         };
         let is_truncated = chunk.is_err();
         if chunks.send(chunk).await.is_err() || is_truncated {
-            return;
+            return false;
         }
     }
 }
