Let a stream go on only with its rest, and end only where it may

Cause: a resumed run was judged by its status alone; the splitter cuts at empty lines, whatever lies between; and the end of a body without a part of an event was the end of the stream.

Change: event_sequence decides, apart from I/O, what follows in a stream and what its end is. A resumed run needs a 200 with the content type of a stream; where the caller has a part, blocks have to be events with increasing ids, or comments; a new stream has an event; nothing follows an event without an id. What is no stream counts as a failure of the upstream, not as a crash.

Why it works: an upstream that has nothing to do with the stream cannot send its next event by accident; the end of a run that has brought nothing is believed only if it is framed, as a stream may break off after its last event.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -62,20 +62,3 @@
         self.partial.clear();
     }
 }
-
-/// Counts the events in a buffer of complete events.
-pub fn count_events(events: &[u8]) -> u32 {
-    let delimiters =
-        events.windows(EVENT_DELIMITER.len()).filter(|window| *window == EVENT_DELIMITER).count();
-    u32::try_from(delimiters).unwrap_or(u32::MAX)
-}
-
-/// Returns the id of the last event in a buffer of complete events, from its `id:` line.
-pub fn last_event_id(events: &[u8]) -> Option<u64> {
-    events
-        .split(|byte| *byte == b'\n')
-        .rev()
-        .find_map(|line| line.strip_prefix(b"id:"))
-        .and_then(|id| std::str::from_utf8(id).ok())
-        .and_then(|id| id.trim().parse().ok())
-}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! Gateway in front of upstreams that are reached without an agent in between.
 //!
 //! The decision modules (`routes`, `customers`, `allowance`, `retry_budget`, `scheduler`, `broker`,
-//! `crash_quarantine`, `peers`, `shared_read`, `store_copy`, `store_lag`,
+//! `crash_quarantine`, `event_sequence`, `peers`, `shared_read`, `store_copy`, `store_lag`,
 //! `stream_versions`, `response_match`, `reachability`,
 //! `upstream_limits`, `upstream_notices`, `upstream_table`, `read_schedule`, `retry`, `freshness`,
 //! `key_confirmation`) do no I/O: they take facts and the current time and return decisions.
@@ -13,6 +13,7 @@
 pub mod byte_budget;
 pub mod crash_quarantine;
 pub mod customers;
+pub mod event_sequence;
 pub mod events;
 pub mod freshness;
 pub mod header_codec;
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming as Body;
@@ -15,6 +15,7 @@
 use super::slot_guard::SlotGuard;
 use super::state::{Shared, UPSTREAM_TIMEOUTS};
 use crate::byte_budget::HeldBytes;
+use crate::event_sequence::is_event_stream;
 use crate::header_codec::AttemptMetadata;
 use crate::model::{RequestMetadata, ResponseMetadata};
 use crate::response_match::belongs_to_request;
@@ -56,6 +57,12 @@
     pub(super) fn is_framed(&self) -> bool {
         is_framed(&self.headers)
     }
+
+    /// Whether the content type is that of an event stream, or is not given.
+    pub(super) fn is_event_stream(&self) -> bool {
+        let content_type = self.headers.get(CONTENT_TYPE);
+        is_event_stream(content_type.map(|given| given.to_str().unwrap_or_default()))
+    }
 }
 
 /// Whether a response has a length or comes in chunks.
--- a/components/gateway/src/runtime/dispatch.rs
+++ b/components/gateway/src/runtime/dispatch.rs
@@ -207,6 +207,10 @@
         }
     };
     if admitted.route.kind.is_stream() && started.status.is_success() {
+        if !started.is_event_stream() {
+            shared.record_failure(admitted, slot, "a success that is no event stream");
+            return AttemptEnd::Ended(AttemptResult::Unknown, None);
+        }
         start_stream(shared, admitted, slot, started, attempts).await
     } else {
         read_response(shared, admitted, slot, started).await
--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay.rs
@@ -3,14 +3,16 @@
 //!
 //! Load pattern: upstreams of several software versions in one service, of which many break off at
 //! once. What two versions write does not fit together, so a stream goes on at its own version.
+//! `event_sequence` decides whether what comes next is the rest of the stream.
 
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use futures_util::stream;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use log::info;
 use tokio::time::{Instant as TokioInstant, timeout_at};
@@ -27,7 +29,8 @@
 use super::stream_versions::StreamStart;
 use crate::byte_budget::HeldBytes;
 use crate::crash_quarantine::{Run, RunResult};
-use crate::events::{EventSplitter, count_events, last_event_id};
+use crate::event_sequence::{EventSequence, RunEnd};
+use crate::events::{EventSplitter, MAX_EVENT_BYTES};
 use crate::model::VersionId;
 use crate::retry::AttemptResult;
 use crate::scheduler::{AttemptOutcome, Job, Priority};
@@ -45,7 +48,7 @@
     splitter: EventSplitter,
     /// Room for the incomplete event.
     held: HeldBytes,
-    last_id: Option<u64>,
+    sequence: EventSequence,
     first_events: Option<Bytes>,
     attempts: Attempts,
     run: Run,
@@ -95,7 +98,10 @@
 enum ReadResult {
     Events(Bytes),
     End,
+    /// The connection broke, or ended before the stream.
     Broken(String),
+    /// What the upstream sent is not what follows in the stream.
+    Malformed(String),
     DeadlinePassed,
 }
 
@@ -109,8 +115,11 @@
         upstream_response: StartedResponse,
         attempts: &Attempts,
     ) -> RelayStart {
+        // On other routes, upstreams begin anew.
+        let resume_after =
+            admitted.metadata.resume_after.filter(|_| admitted.route.kind.may_retry());
         let mut relay = Box::new(Relay {
-            last_id: admitted.metadata.resume_after,
+            sequence: EventSequence::begin(resume_after),
             held: shared.byte_budget.begin_response(slot.upstream().id()),
             shared,
             admitted,
@@ -129,7 +138,7 @@
             longest_pause: Duration::ZERO,
             completed: false,
         });
-        match relay.read_events().await {
+        match relay.read_first_events().await {
             ReadResult::Events(events) => {
                 if relay.record_start().await == StreamStart::Unmarked {
                     relay.upstream_response = None;
@@ -149,6 +158,11 @@
                 relay.record_broken_run(&reason);
                 RelayStart::Broken
             }
+            ReadResult::Malformed(reason) => {
+                relay.upstream_response = None;
+                relay.record_malformed_run(&reason);
+                RelayStart::Broken
+            }
             ReadResult::DeadlinePassed => {
                 relay.upstream_response = None;
                 RelayStart::DeadlinePassed
@@ -185,21 +199,22 @@
         }
         loop {
             self.upstream_response.as_ref()?;
-            let reason = match self.read_events().await {
-                ReadResult::Events(events) => return Some(Ok(events)),
+            let result = self.read_events().await;
+            match &result {
+                ReadResult::Events(events) => return Some(Ok(events.clone())),
                 ReadResult::End => {
                     self.complete();
                     return None;
                 }
-                ReadResult::Broken(reason) => reason,
+                ReadResult::Broken(reason) => self.record_broken_run(reason),
+                ReadResult::Malformed(reason) => self.record_malformed_run(reason),
                 ReadResult::DeadlinePassed => {
                     self.upstream_response = None;
                     self.log_stream_end("timeout");
                     return Some(Err(BrokenStream));
                 }
-            };
+            }
             self.upstream_response = None;
-            self.record_broken_run(&reason);
             if !self.resume().await {
                 self.log_stream_end("broken");
                 return Some(Err(BrokenStream));
@@ -207,6 +222,23 @@
         }
     }
 
+    /// Reads up to the first event, with the comments before it.
+    async fn read_first_events(&mut self) -> ReadResult {
+        let mut first = BytesMut::new();
+        loop {
+            match self.read_events().await {
+                ReadResult::Events(events) => first.extend_from_slice(&events),
+                other => return other,
+            }
+            if self.sequence.has_events() {
+                return ReadResult::Events(first.freeze());
+            }
+            if first.len() > MAX_EVENT_BYTES {
+                return ReadResult::Malformed("no event follows the comments".to_owned());
+            }
+        }
+    }
+
     async fn read_events(&mut self) -> ReadResult {
         let deadline = TokioInstant::from_std(self.admitted.deadline);
         loop {
@@ -216,7 +248,14 @@
                 Ok(None) if self.splitter.has_partial() => {
                     return ReadResult::Broken("stream ended within an event".to_owned());
                 }
-                Ok(None) => return ReadResult::End,
+                Ok(None) => {
+                    return match self.sequence.end_run(response.is_framed()) {
+                        RunEnd::Complete => ReadResult::End,
+                        RunEnd::Broken => {
+                            ReadResult::Broken("stream ended without an event".to_owned())
+                        }
+                    };
+                }
                 Ok(Some(Err(error))) => return ReadResult::Broken(error.to_string()),
                 Ok(Some(Ok(frame))) => frame,
             };
@@ -227,8 +266,13 @@
             }
             match pushed {
                 Ok(Some(events)) => {
-                    self.record_events(&events);
-                    return ReadResult::Events(events);
+                    return match self.sequence.accept(&events) {
+                        Ok(count) => {
+                            self.record_events(count);
+                            ReadResult::Events(events)
+                        }
+                        Err(error) => ReadResult::Malformed(error.to_string()),
+                    };
                 }
                 Ok(None) => {}
                 Err(error) => return ReadResult::Broken(error.to_string()),
@@ -237,9 +281,11 @@
         }
     }
 
-    fn record_events(&mut self, events: &[u8]) {
-        self.last_id = last_event_id(events).or(self.last_id);
-        let count = count_events(events);
+    fn record_events(&mut self, count: u32) {
+        self.slot.record_activity();
+        if count == 0 {
+            return;
+        }
         self.event_count += count;
         if self.run.record_events(self.shared.clock.now()) == RunResult::Answered {
             self.shared.record_answered(&self.admitted);
@@ -265,6 +311,12 @@
         self.shared.record_failure(&self.admitted, &mut self.slot, reason);
     }
 
+    /// Records that the upstream sent something else than the stream, which says nothing of what the
+    /// request does to it.
+    fn record_malformed_run(&mut self, reason: &str) {
+        self.shared.record_failure(&self.admitted, &mut self.slot, reason);
+    }
+
     fn record_complete_run(&mut self, is_framed: bool) {
         if !is_framed {
             let upstream = self.slot.upstream();
@@ -330,6 +382,7 @@
     async fn resume(&mut self) -> bool {
         self.splitter.reset();
         self.run = self.run.resume();
+        let Some(after) = self.sequence.begin_further_run() else { return false };
         let admitted = self.admitted.clone();
         while self.attempts.upstreams_used < admitted.route.max_upstreams {
             self.attempts.excluded.push(self.slot.upstream().id());
@@ -347,22 +400,26 @@
             };
             self.held = self.shared.byte_budget.begin_response(slot.upstream().id());
             self.slot = slot;
-            let result = self.shared.send_request(&admitted, &mut self.slot, self.last_id).await;
+            let result = self.shared.send_request(&admitted, &mut self.slot, Some(after)).await;
             info!(
-                "stream.resume id={} instance={} version={} after={}",
+                "stream.resume id={} instance={} version={} after={after}",
                 admitted.metadata.attempt_id,
                 self.slot.upstream().instance,
                 self.slot.upstream().version,
-                or_none(self.last_id)
             );
             match result {
-                SendResult::Started(started) if started.status.is_success() => {
+                SendResult::Started(started) if goes_on(&started) => {
                     self.attempts.upstreams_used += 1;
                     self.upstream_response = Some(*started);
                     return true;
                 }
+                SendResult::Started(started) => {
+                    self.attempts.upstreams_used += 1;
+                    let status = started.status.as_u16();
+                    self.record_malformed_run(&format!("no event stream, but status {status}"));
+                }
                 SendResult::Ended(AttemptResult::NotSent | AttemptResult::Declined) => {}
-                SendResult::Started(_) | SendResult::Ended(_) => self.attempts.upstreams_used += 1,
+                SendResult::Ended(_) => self.attempts.upstreams_used += 1,
                 SendResult::DeadlinePassed => return false,
             }
         }
@@ -384,3 +441,8 @@
         }
     }
 }
+
+/// Whether a response may be the rest of a stream. The caller has the status of the first run.
+fn goes_on(started: &StartedResponse) -> bool {
+    started.status == StatusCode::OK && started.is_event_stream()
+}
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -1,7 +1,7 @@
 //! Only complete events are forwarded, whatever the chunks they arrive in.
 
 use bolero::produce;
-use gateway::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES, last_event_id};
+use gateway::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 
 #[test]
 fn chunks_of_any_size_yield_the_complete_events_only() {
@@ -37,10 +37,3 @@
     }
     assert_eq!(splitter.push(&chunk), Err(EventTooLong));
 }
-
-#[test]
-fn last_event_id_is_that_of_the_last_event() {
-    assert_eq!(last_event_id(b"id: 7\ndata: x\n\nid: 8\ndata: y\n\n"), Some(8));
-    assert_eq!(last_event_id(b"id:9\ndata: id: 3\n\n"), Some(9));
-    assert_eq!(last_event_id(b"data: x\n\n"), None);
-}
