Do not pass on responses that cannot be the answer to a request

A booking under a 999 with "not run" was refused as not run, though it may have run.

Cause: whatever was no success counted as the upstream's own failure, to be passed on. Nothing looked at the class of a status or at Content-Encoding. The agents of the product's own form did the same.

Change: response_match decides which statuses an answer can have, given the request; encoded bodies are no answers either. Both count as a broken answer: retried where that is safe, 502 otherwise. Agents check the same.

Why it works: every head of a response passes check_response, and check_answer at agents, before anything of it is used.

--- a/components/agent/src/upstream/engine.rs
+++ b/components/agent/src/upstream/engine.rs
@@ -14,7 +14,7 @@
 use web::{Client, ClientError, ClientResponse, Request};
 use wire::{Command, Dispatch, Order, RequestKey, Work};
 
-use super::Upstream;
+use super::{Upstream, check_answer};
 use crate::core::UpstreamEvent;
 
 const ORDERS_PATH: &str = "/v1/orders";
@@ -156,7 +156,10 @@
             Err(ClientError::NotSent(reason)) => return UpstreamEvent::NotReached(reason),
             Err(ClientError::Unknown(reason)) => return UpstreamEvent::Failed(reason),
         };
-        let content_type = response.headers.get("content-type").unwrap_or_default().to_owned();
+        if let Err(reason) = check_answer(&response) {
+            return UpstreamEvent::Failed(reason);
+        }
+        let content_type = content_type(&response).to_owned();
         let is_stream = content_type.starts_with(STREAM_CONTENT_TYPE);
         let started = UpstreamEvent::Started { status: response.status, content_type };
         let mut event = started;
@@ -239,6 +242,10 @@
     }
 }
 
+fn content_type(response: &ClientResponse) -> &str {
+    response.headers.get("content-type").unwrap_or_default()
+}
+
 /// Returns the request id for the engine. It contains the customer, since the ids of callers are
 /// unique only for one customer.
 fn engine_request_id(key: &RequestKey) -> String {
--- a/components/agent/src/upstream/service.rs
+++ b/components/agent/src/upstream/service.rs
@@ -9,7 +9,7 @@
 use web::{Client, ClientError, ClientResponse, Request};
 use wire::{Dispatch, Order, RequestKey, Work};
 
-use super::Upstream;
+use super::{Upstream, check_answer};
 use crate::core::UpstreamEvent;
 
 /// Plain HTTP service at an address.
@@ -81,6 +81,10 @@
             return;
         }
     };
+    if let Err(reason) = check_answer(&response) {
+        let _ = events.send(UpstreamEvent::Failed(reason)).await;
+        return;
+    }
     let content_type = response.headers.get("content-type").unwrap_or_default().to_owned();
     let started = UpstreamEvent::Started { status: response.status, content_type };
     if events.send(started).await.is_err() {
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -18,7 +18,7 @@
 use crate::event_sequence::is_event_stream;
 use crate::header_codec::AttemptMetadata;
 use crate::model::{RequestMetadata, ResponseMetadata};
-use crate::response_match::belongs_to_request;
+use crate::response_match::{belongs_to_request, is_answer_status, is_unencoded};
 use crate::retry::AttemptResult;
 use crate::scheduler::AttemptOutcome;
 
@@ -198,8 +198,8 @@
         Ok(request)
     }
 
-    /// Checks from the head of a response whether it belongs to the request, and whether the upstream
-    /// ran that. One that belongs to another request says nothing of this one or of the upstream.
+    /// Checks from the head of a response whether it can be the answer to the request, and whether the
+    /// upstream ran that. One that belongs to another request says nothing of this one or of the upstream.
     fn check_response(
         &self,
         admitted: &AdmittedRequest,
@@ -212,6 +212,11 @@
         slot.record_activity();
         let attempt_id = &admitted.metadata.attempt_id;
         let is_success = head.status.is_success();
+        if !is_answer_status(head.status, &admitted.headers) {
+            let reason = format!("status {} is that of no answer", head.status.as_u16());
+            self.record_failure(admitted, slot, &reason);
+            return SendResult::Ended(AttemptResult::Unknown);
+        }
         if !belongs_to_request(&metadata, is_success, attempt_id, connection.request_count()) {
             let ResponseMetadata { attempt_id: echoed_id, signed, .. } = &metadata;
             let reason = format!(
@@ -229,6 +234,10 @@
             });
             return SendResult::Ended(AttemptResult::Declined);
         }
+        if !is_unencoded(&head.headers) {
+            self.record_failure(admitted, slot, "the body is encoded");
+            return SendResult::Ended(AttemptResult::Unknown);
+        }
         let started = StartedResponse {
             status: head.status,
             headers: head.headers,
