Take only a response of the same content type for the rest of an engine's stream

What callers saw: an error text in the middle of a stream whose engine's connection had broken, in the product's own form. The stream then failed, as its end marker was missing.

Cause: the agent resumes a response by offset and took any 200 for its rest.

Change: the rest has to have the content type of the beginning, and a head that an answer can have. Why it works: engines give their errors as JSON; a rest that is refused counts as a failed attempt to resume, as before.

--- a/components/agent/src/upstream/engine.rs
+++ b/components/agent/src/upstream/engine.rs
@@ -223,7 +223,12 @@
             {
                 return Err(reason.clone());
             }
-            match (self.engine.resume_response(self.key, self.offset_bytes).await, failure) {
+            let resumed = self.engine.resume_response(self.key, self.offset_bytes).await;
+            // An error text under a status of success has another one.
+            let is_rest = |resumed: &ClientResponse| {
+                check_answer(resumed).is_ok() && content_type(resumed) == content_type(response)
+            };
+            match (resumed.filter(is_rest), failure) {
                 (Some(resumed), _) => *response = resumed,
                 (None, Some(reason)) => return Err(reason),
                 // The engine may be busy with a long prompt or may not support resuming, so the old
--- a/components/agent/tests/odd_answers.rs
+++ b/components/agent/tests/odd_answers.rs
@@ -106,3 +106,22 @@
     }
     assert_eq!(passed_on, []);
 }
+
+/// Guards against an error text in the middle of a stream that broke off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_error_text_is_the_rest_of_a_stream() {
+    let first = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 99\r\n\r\ndata: 1\n\n";
+    let rest = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 12\r\n\r\n{\"error\": 1}";
+    let address = serve(first, rest).await;
+    let engine = HttpEngine::new(Client::spawn().expect("start client"), address);
+    let events = events_of(&engine, &model_call()).await;
+    let passed_on: Vec<&Bytes> = events
+        .iter()
+        .filter_map(|event| match event {
+            UpstreamEvent::Data(bytes) => Some(bytes),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(passed_on, [&b"data: 1\n\n"[..]]);
+    assert!(matches!(events.last(), Some(UpstreamEvent::Failed(_))), "{events:?}");
+}
