Limit the time for which an idle connection is kept

Cause: the pool added the stated time to the current one, which panics where the clock cannot express the sum, after the answer had been read and before it was passed on.

Evidence: a_huge_idle_timeout_costs_the_answer failed before with "overflow when adding duration to instant" and a closed connection.

Other sums of a time and what others state were read; they are limited, or in milliseconds.

--- a/components/link/src/pool.rs
+++ b/components/link/src/pool.rs
@@ -7,6 +7,10 @@
 
 use crate::Connection;
 
+/// Longest time that an idle connection is kept, whatever its server states. A time without end would
+/// be beyond what the clock can express.
+const MAX_LIFETIME: Duration = Duration::from_secs(86_400);
+
 /// Idle connections by address. The most recently used one is reused first.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -38,7 +42,7 @@
         Some(connections.remove(position).connection)
     }
 
-    /// Adds an idle connection that may be reused until `lifetime` has passed.
+    /// Adds an idle connection that may be reused until `lifetime` has passed, one day at most.
     pub fn put(
         &self,
         address: SocketAddr,
@@ -46,7 +50,8 @@
         now: Instant,
         lifetime: Duration,
     ) {
-        let idle = IdleConnection { connection, idle_since: now, usable_until: now + lifetime };
+        let usable_until = now + lifetime.min(MAX_LIFETIME);
+        let idle = IdleConnection { connection, idle_since: now, usable_until };
         self.idle.borrow_mut().entry(address).or_default().push(idle);
     }
 
