Limit what is read from a connection before its response begins

Cause: the HTTP client skips interim responses; nothing bounded their number or bytes, and the task of a connection reads as long as bytes arrive, on the thread that serves everything.

--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -1,5 +1,6 @@
 //! A single HTTP/1.1 client connection.
 
+use std::error::Error;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
+use crate::limited_stream::{LimitedStream, ResponseLimit};
 use crate::transfer::{TransferLimits, TransferProgress};
 
 /// Largest head of a response, and largest part of its body that is read at a time: four times the
@@ -68,6 +70,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    limit: ResponseLimit,
     request_count: u32,
 }
 
@@ -79,6 +82,8 @@
         .map_err(|_| LinkError::NotSent(format!("{address}: connect timed out")))?
         .map_err(|error| connect_error(address, &error))?;
     set_socket_options(&stream, timeouts);
+    let limit = ResponseLimit::default();
+    let stream = LimitedStream::new(stream, limit.clone());
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -89,7 +94,12 @@
             debug!("connection.ended to={address} error={error}");
         }
     });
-    Ok(Connection { sender, request_count: 0 })
+    Ok(Connection { sender, limit, request_count: 0 })
+}
+
+/// Describes an error of the HTTP client with what it comes from.
+fn describe(error: &hyper::Error) -> String {
+    error.source().map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
 }
 
 fn connect_error(address: SocketAddr, error: &io::Error) -> LinkError {
@@ -115,13 +125,16 @@
 }
 
 impl Connection {
-    /// Sends a request and waits for the head of its response. Dropping the future before that
-    /// closes the connection.
+    /// Sends a request and waits for the head of its response. Fails if too much arrives before it.
+    /// Dropping the future before that closes the connection.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<LinkResponse, LinkError> {
         self.request_count = self.request_count.saturating_add(1);
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
+        self.limit.begin();
+        let sent = self.sender.try_send_request(request).await;
+        self.limit.end();
+        sent.map_err(|mut failed| {
             let unsent = failed.take_message().is_some();
-            let reason = failed.error().to_string();
+            let reason = describe(failed.error());
             if unsent { LinkError::NotSent(reason) } else { LinkError::Unknown(reason) }
         })
     }
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -5,6 +5,7 @@
 //! is used because ntex's client hides connections behind its pool.
 
 mod connection;
+mod limited_stream;
 mod pool;
 mod transfer;
 
