--- a/components/gateway/src/runtime/relay.rs
+++ b/components/gateway/src/runtime/relay/mod.rs
@@ -5,6 +5,8 @@
 //! once. What two versions write does not fit together, so a stream goes on at its own version.
 //! `event_sequence` decides whether what comes next is the rest of the stream.
 
+mod resume;
+
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,32 +14,24 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use futures_util::stream;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use log::info;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use super::admission::AdmittedRequest;
-use super::attempt::{SendResult, StartedResponse};
+use super::attempt::StartedResponse;
 use super::callers::OpenRequest;
 use super::crash_checks::{AnswerEnd, check_for_crash};
 use super::dispatch::Attempts;
 use super::log_fields::or_none;
 use super::slot_guard::SlotGuard;
-use super::slots;
 use super::state::SharedRef;
 use super::stream_versions::StreamStart;
 use crate::byte_budget::HeldBytes;
 use crate::crash_quarantine::{Run, RunResult};
 use crate::event_sequence::{EventSequence, RunEnd};
 use crate::events::{EventSplitter, MAX_EVENT_BYTES};
-use crate::model::VersionId;
-use crate::retry::AttemptResult;
-use crate::scheduler::{AttemptOutcome, Job, Priority};
-
-/// Longest time that a broken stream waits for the slot at which it resumes; callers wait a few
-/// times longer for its next event.
-const RESUME_WAIT_LIMIT: Duration = Duration::from_millis(500);
+use crate::scheduler::AttemptOutcome;
 
 /// An event stream that is being relayed. Dropping it closes the connection to the upstream.
 pub(super) struct Relay {
@@ -282,8 +276,8 @@
     }
 
     fn record_events(&mut self, count: u32) {
-        self.slot.record_activity();
         if count == 0 {
+            self.slot.record_activity();
             return;
         }
         self.event_count += count;
@@ -376,73 +370,4 @@
         self.first_event_at.is_some_and(|at| at <= objective_at)
             && route.pause_objective.is_none_or(|longest| self.longest_pause <= longest)
     }
-
-    /// Resumes the stream after the last complete event, at another upstream of its version; returns
-    /// whether that succeeded.
-    async fn resume(&mut self) -> bool {
-        self.splitter.reset();
-        self.run = self.run.resume();
-        let Some(after) = self.sequence.begin_further_run() else { return false };
-        let admitted = self.admitted.clone();
-        while self.attempts.upstreams_used < admitted.route.max_upstreams {
-            self.attempts.excluded.push(self.slot.upstream().id());
-            if !self.shared.may_retry(&admitted, &self.attempts, true) {
-                return false;
-            }
-            self.attempts.count += 1;
-            // An upstream that has started again at another version may have begun the stream.
-            let stream = admitted.stream;
-            let Some(version) = stream.and_then(|id| self.shared.stream_version(id)) else {
-                return false;
-            };
-            let Ok(slot) = slots::acquire(&self.shared, self.resume_job(version)).await else {
-                return false;
-            };
-            self.held = self.shared.byte_budget.begin_response(slot.upstream().id());
-            self.slot = slot;
-            let result = self.shared.send_request(&admitted, &mut self.slot, Some(after)).await;
-            info!(
-                "stream.resume id={} instance={} version={} after={after}",
-                admitted.metadata.attempt_id,
-                self.slot.upstream().instance,
-                self.slot.upstream().version,
-            );
-            match result {
-                SendResult::Started(started) if goes_on(&started) => {
-                    self.attempts.upstreams_used += 1;
-                    self.upstream_response = Some(*started);
-                    return true;
-                }
-                SendResult::Started(started) => {
-                    self.attempts.upstreams_used += 1;
-                    let status = started.status.as_u16();
-                    self.record_malformed_run(&format!("no event stream, but status {status}"));
-                }
-                SendResult::Ended(AttemptResult::NotSent | AttemptResult::Declined) => {}
-                SendResult::Ended(_) => self.attempts.upstreams_used += 1,
-                SendResult::DeadlinePassed => return false,
-            }
-        }
-        false
-    }
-
-    /// Describes the resumed stream for the scheduler.
-    fn resume_job(&self, version: VersionId) -> Job {
-        let now = self.shared.clock.now();
-        Job {
-            priority: Priority::RESUMED,
-            session_part: None,
-            is_last_attempt: true,
-            objective_at: now + RESUME_WAIT_LIMIT,
-            queue_deadline: now + RESUME_WAIT_LIMIT,
-            version: Some(version),
-            excluded: self.attempts.excluded.clone(),
-            ..self.admitted.to_job()
-        }
-    }
-}
-
-/// Whether a response may be the rest of a stream. The caller has the status of the first run.
-fn goes_on(started: &StartedResponse) -> bool {
-    started.status == StatusCode::OK && started.is_event_stream()
 }
