--- a/components/gateway/src/runtime/relay/resume.rs
+++ b/components/gateway/src/runtime/relay/resume.rs
@@ -1,4 +1,7 @@
 //! Resumes a stream that broke off at another upstream.
+//!
+//! Load pattern: an upstream ends with all its streams, which ask for slots elsewhere at the same time.
+//! They go before requests that have not begun, and wait for a slot for a short time only.
 
 use std::time::Duration;
 
