Share the configuration of the HTTP server between its connections

What callers saw: a gateway's memory grew with each connection that had been closed, until the process ended. Clients need not misbehave for that: new connections are enough, and readiness checks did the same.

Cause: each connection made a configuration of ntex of its own. ntex numbers configurations, and keeps caches of read buffers (16 KB each) and defaults for each number in tables of the thread, from which nothing is removed.

Change: each listener makes its configuration once, with every part given, and its connections share it. Why it works: the tables have one entry a listener, whose cache holds 128 buffers at most.

--- a/components/gateway/src/runtime/callers.rs
+++ b/components/gateway/src/runtime/callers.rs
@@ -12,7 +12,7 @@
 use ntex::http::h1::ProtocolError;
 use ntex::http::h1::control::{Control, ControlAck, Reason};
 use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response};
-use ntex::io::Filter;
+use ntex::io::{Filter, IoConfig};
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use socket2::{SockRef, TcpKeepalive};
@@ -93,12 +93,13 @@
 
 /// Accepts callers' connections until the process ends.
 pub(super) async fn serve(shared: SharedRef, listener: TcpListener) {
+    let configuration = server_configuration();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let shared = shared.clone();
+                let (shared, configuration) = (shared.clone(), configuration.clone());
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_connection(shared, stream).await {
+                    if let Err(error) = serve_connection(shared, configuration, stream).await {
                         warn!("caller.connection error={error:#}");
                     }
                 });
@@ -111,7 +112,24 @@
     }
 }
 
-async fn serve_connection(shared: SharedRef, stream: TcpStream) -> Result<()> {
+/// Configuration of the HTTP server. It is the same one for all connections: ntex keeps what belongs
+/// to a configuration, such as the buffers for reading, until the process ends.
+fn server_configuration() -> SharedCfg {
+    SharedCfg::new("callers")
+        .add(IoConfig::new())
+        .add(
+            HttpServiceConfig::new()
+                .set_keepalive(KeepAlive::Timeout(SERVER_TIMEOUT))
+                .set_headers_read_rate(SERVER_TIMEOUT, SERVER_TIMEOUT, 1),
+        )
+        .into()
+}
+
+async fn serve_connection(
+    shared: SharedRef,
+    configuration: SharedCfg,
+    stream: TcpStream,
+) -> Result<()> {
     let _count_guard = CountGuard::new(&shared.open_connections);
     set_socket_options(&stream);
     let connection = Rc::new(ConnectionState {
@@ -125,19 +143,12 @@
             async move { Ok::<_, HttpError>(handle_request(shared, connection, request).await) }
         }
     });
-    let server_configuration: SharedCfg = SharedCfg::new("callers")
-        .add(
-            HttpServiceConfig::new()
-                .set_keepalive(KeepAlive::Timeout(SERVER_TIMEOUT))
-                .set_headers_read_rate(SERVER_TIMEOUT, SERVER_TIMEOUT, 1),
-        )
-        .into();
     let handler = HttpService::h1(service)
         .control(fn_service(close_broken_stream))
-        .create(server_configuration)
+        .create(configuration.clone())
         .await
         .map_err(|()| anyhow::anyhow!("cannot create the HTTP service for the connection"))?;
-    let io = ntex::rt::from_tcp_stream(stream.into_std()?, io_configuration())?;
+    let io = ntex::rt::from_tcp_stream(stream.into_std()?, configuration)?;
     let pipeline = Pipeline::new(handler);
     tokio::select! {
         served = pipeline.call(io) => {
@@ -165,10 +176,6 @@
     }
 }
 
-fn io_configuration() -> SharedCfg {
-    SharedCfg::new("callers").into()
-}
-
 fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let probes =
--- a/components/gateway/src/runtime/readiness.rs
+++ b/components/gateway/src/runtime/readiness.rs
@@ -3,7 +3,8 @@
 use log::warn;
 use ntex::SharedCfg;
 use ntex::http::error::HttpError;
-use ntex::http::{HttpService, Request, Response, StatusCode};
+use ntex::http::{HttpService, HttpServiceConfig, Request, Response, StatusCode};
+use ntex::io::IoConfig;
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -24,12 +25,15 @@
     listener: TcpListener,
     handler: impl Fn(Request) -> Response + Clone + 'static,
 ) {
+    // One for all connections: ntex keeps what belongs to a configuration until the process ends.
+    let configuration: SharedCfg =
+        SharedCfg::new("small").add(IoConfig::new()).add(HttpServiceConfig::new()).into();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = handler.clone();
+                let (handler, configuration) = (handler.clone(), configuration.clone());
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_connection(stream, handler).await {
+                    if let Err(error) = serve_connection(stream, configuration, handler).await {
                         warn!("internal_server.connection error={error:#}");
                     }
                 });
@@ -44,13 +48,13 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    configuration: SharedCfg,
     handler: impl Fn(Request) -> Response + Clone + 'static,
 ) -> anyhow::Result<()> {
     let service = fn_service(move |request: Request| {
         let response = handler(request);
         async move { Ok::<_, HttpError>(response) }
     });
-    let configuration: SharedCfg = SharedCfg::new("small").into();
     let http_service = HttpService::h1(service)
         .create(configuration.clone())
         .await
