Parse a request's head only when it is complete, within the limit, and has room

What callers saw: clients that sent requests of legal size, made of very many short header lines, ended a process; it ran out of memory.

Cause: the HTTP server parses header lines as they arrive into a map, in which a line of 4 bytes takes some 40 times as much; the gateway made a second map and kept both while it waited for the body. MaxHeaderBytes was compared with complete heads only, and the budget of bytes reserved 16 KB for a request whatever its head took.

Change: a filter below the server keeps a head as it came until its end, at most twice MaxHeaderBytes on the wire, and passes it on when there is room for what it takes once parsed: 400 bytes a line and 6 a byte. Otherwise the client gets 431, or 503 to come back elsewhere. What arrives behind a request is taken back from the server when the request ends. The server's map is dropped once it has been copied. The budget of bytes moves into a new component, intake, with the filter.

Why it works: nothing of a client is parsed before it is counted, and what is not parsed takes its bytes. The server stays the only one that decides where a request ends: the filter only holds bytes back.

Tests of the budget: admit_request of the budget is now begin_request and admit_request of what it returns; assertions unchanged.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -72,6 +72,7 @@
     NotFound = 1008, 404, "not_found", "The requested resource was not found.";
     MalformedRequest = 1009, 400, "malformed_request", "The request's head or body is not well formed.";
     HeaderTooLarge = 1010, 431, "header_too_large", "The headers are larger than the configured limit.";
+    RequestTooSlow = 1011, 408, "request_too_slow", "The rest of the request did not arrive in time.";
     UnknownKey = 1101, 401, "unknown_key", "The bearer key is missing or belongs to no customer.";
     NotPermitted = 1102, 403, "not_permitted", "The customer may not make this call.";
     LimitReached = 2001, 429, "limit_reached", "The customer's rate limit has been reached.";
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,7 +10,6 @@
 
 pub mod allowance;
 pub mod broker;
-pub mod byte_budget;
 pub mod crash_quarantine;
 pub mod customers;
 pub mod event_sequence;
--- a/components/gateway/src/runtime/admission.rs
+++ b/components/gateway/src/runtime/admission.rs
@@ -11,13 +11,13 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::HeldBytes;
 use super::allowance::AllowanceDecision;
 use super::caller_request::IncomingRequest;
 use super::dispatch::DispatchProgress;
 use super::state::Shared;
 use super::stream_versions::StreamTarget;
 use crate::allowance::{CustomerId, request_cost};
-use crate::byte_budget::HeldBytes;
 use crate::model::{
     Customer, RequestContent, RequestHash, RequestMetadata, Route, ServiceId, VersionId,
 };
--- a/components/gateway/src/runtime/attempt.rs
+++ b/components/gateway/src/runtime/attempt.rs
@@ -11,10 +11,10 @@
 use log::warn;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
+use super::HeldBytes;
 use super::admission::AdmittedRequest;
 use super::slot_guard::SlotGuard;
 use super::state::{Shared, UPSTREAM_TIMEOUTS};
-use crate::byte_budget::HeldBytes;
 use crate::event_sequence::is_event_stream;
 use crate::header_codec::AttemptMetadata;
 use crate::model::{RequestMetadata, ResponseMetadata};
--- a/components/gateway/src/runtime/caller_request.rs
+++ b/components/gateway/src/runtime/caller_request.rs
@@ -1,14 +1,13 @@
 //! Reads callers' requests and enforces their size limits.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use errors::{Refusal, ResultCode};
-use futures_util::future::poll_fn;
 use http::{HeaderMap, HeaderValue, Method, Uri, header};
-use ntex::http::{Payload, Request};
+use intake::{Connection, IncomingBody, no_room};
+use ntex::http::{HeaderMap as ParsedHeaders, Request};
 
-use super::admission::OTHER_GATEWAY_RETRY_AFTER;
-use crate::byte_budget::{BudgetExceeded, HeldBytes};
-use crate::model::CallerLimits;
+use super::HeldBytes;
+use crate::model::{CallerLimits, UpstreamId};
 
 /// A caller's request, read completely.
 pub(super) struct IncomingRequest {
@@ -23,12 +22,14 @@
 /// Reads a request completely. Refuses one that exceeds the limits, that is malformed, or for which
 /// there is no room.
 pub(super) async fn read_request(
+    connection: &Connection<UpstreamId>,
     mut request: Request,
     limits: CallerLimits,
-    held: Result<HeldBytes, BudgetExceeded>,
 ) -> Result<IncomingRequest, Refusal> {
-    let mut held = held.map_err(no_room)?;
-    let headers = copy_headers(&request)?;
+    let body = IncomingBody::take(&mut request);
+    // The server keeps requests for further ones, with the room of their maps.
+    let parsed = std::mem::take(&mut request.head_mut().headers);
+    let headers = copy_headers(parsed)?;
     let header_bytes: usize =
         headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
     if header_bytes > limits.header_bytes {
@@ -46,7 +47,8 @@
         .and_then(|target| Uri::try_from(target.as_str()).ok())
         .ok_or_else(|| malformed("no path"))?;
     let method = request.method().clone();
-    let body = read_body(request.take_payload(), limits.body_bytes, &mut held).await?;
+    let body = body.read(connection, limits.body_bytes).await?;
+    let held = connection.admit_request().map_err(|_| no_room())?;
     Ok(IncomingRequest { method, target, host, headers, body, held })
 }
 
@@ -54,34 +56,14 @@
     Refusal::not_run(ResultCode::MalformedRequest).with_message(reason)
 }
 
-fn no_room(_: BudgetExceeded) -> Refusal {
-    Refusal::not_run(ResultCode::GatewayFull).with_retry_after(OTHER_GATEWAY_RETRY_AFTER)
-}
-
-fn copy_headers(request: &Request) -> Result<HeaderMap, Refusal> {
-    let mut headers = HeaderMap::with_capacity(request.headers().len());
-    for (name, value) in request.headers() {
+fn copy_headers(parsed: ParsedHeaders) -> Result<HeaderMap, Refusal> {
+    let mut headers = HeaderMap::with_capacity(parsed.len());
+    for (name, value) in &parsed {
         let value = HeaderValue::from_bytes(value.as_bytes())
             .map_err(|_| malformed("invalid header value"))?;
-        headers.append(name.clone(), value);
+        headers
+            .try_append(name.clone(), value)
+            .map_err(|_| Refusal::not_run(ResultCode::HeaderTooLarge))?;
     }
     Ok(headers)
 }
-
-async fn read_body(
-    mut payload: Payload,
-    limit_bytes: usize,
-    held: &mut HeldBytes,
-) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = poll_fn(|cx| payload.poll_recv(cx)).await {
-        let chunk = chunk.map_err(|error| malformed(&error.to_string()))?;
-        if body.len() + chunk.len() > limit_bytes {
-            return Err(Refusal::not_run(ResultCode::BodyTooLarge));
-        }
-        body.reserve(chunk.len());
-        held.hold(body.capacity()).map_err(no_room)?;
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -39,13 +39,16 @@
 
 use crate::Settings;
 use crate::header_codec::HeaderCodec;
-use crate::model::{Configuration, Position, ServiceId, Upstream};
+use crate::model::{Configuration, Position, ServiceId, Upstream, UpstreamId};
 use crate::peers::Member;
 use crate::planned_stop::StopStep;
 use crate::shared_read::{SharedChange, SharedRead, SharedReadReceiver};
 use crate::stream_versions::{Marker, StreamRecordStore};
 use state::Shared;
 
+/// Room that a request or a response holds.
+type HeldBytes = intake::byte_budget::HeldBytes<UpstreamId>;
+
 /// Interval at which a planned stop checks what is left to do.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/components/gateway/src/runtime/relay/mod.rs
+++ b/components/gateway/src/runtime/relay/mod.rs
@@ -18,6 +18,7 @@
 use log::info;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
+use super::HeldBytes;
 use super::admission::AdmittedRequest;
 use super::attempt::StartedResponse;
 use super::callers::OpenRequest;
@@ -27,7 +28,6 @@
 use super::slot_guard::SlotGuard;
 use super::state::SharedRef;
 use super::stream_versions::StreamStart;
-use crate::byte_budget::HeldBytes;
 use crate::crash_quarantine::{Run, RunResult};
 use crate::event_sequence::{EventSequence, RunEnd};
 use crate::events::{EventSplitter, MAX_EVENT_BYTES};
--- a/components/gateway/src/runtime/response.rs
+++ b/components/gateway/src/runtime/response.rs
@@ -3,17 +3,15 @@
 use std::error::Error;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
-use errors::Refusal;
 use http::{HeaderMap, HeaderName, StatusCode, header};
 use ntex::http::body::{Body, BodySize, MessageBody};
 use ntex::http::{Response, ResponseBuilder};
 
+use super::HeldBytes;
 use super::callers::OpenRequest;
 use super::relay::Relay;
-use crate::byte_budget::HeldBytes;
 
 /// Response to a caller.
 pub(super) enum CallerResponse {
@@ -123,21 +121,3 @@
         }
     }
 }
-
-/// Builds the error response for a refusal.
-pub(super) fn build_refusal(refusal: &Refusal, close: bool) -> Response<Body> {
-    let status = StatusCode::from_u16(refusal.code.http_status())
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut builder = Response::build(status);
-    if let Some(retry_after) = refusal.retry_after {
-        builder.header(header::RETRY_AFTER, format_seconds(retry_after));
-    }
-    if close {
-        builder.force_close();
-    }
-    builder.json(&refusal.body())
-}
-
-fn format_seconds(duration: Duration) -> String {
-    format!("{:.3}", duration.as_secs_f64())
-}
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -9,6 +9,9 @@
 use anyhow::Result;
 use bytes::Bytes;
 use clock::Clock;
+use intake::byte_budget::ByteBudget;
+use intake::connection_table::WaitLimits;
+use intake::{Intake, IntakeLimits};
 use link::{Pool, Timeouts};
 use log::info;
 use tokio::net::UdpSocket;
@@ -23,7 +26,6 @@
 use crate::Settings;
 use crate::allowance::{BucketOwner, CustomerId, LocalCredit};
 use crate::broker::{Broker, ElectionKey, PeerHealth, SlotReply, SlotRequestId};
-use crate::byte_budget::ByteBudget;
 use crate::crash_quarantine::CrashQuarantine;
 use crate::customers::CustomerKeys;
 use crate::freshness::Freshness;
@@ -54,6 +56,10 @@
     keepalive_interval: Duration::from_millis(1_000),
 };
 
+/// Idle time after which a connection is closed during a planned stop: the last response must have
+/// been sent by then.
+const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The active configuration, indexed for the look-ups of requests.
 #[derive(Debug, Default)]
 pub(super) struct ActiveConfiguration {
@@ -71,6 +77,14 @@
     pub(super) stream_lifetime: Duration,
 }
 
+/// Limits on callers' connections, in the form of their intake.
+fn intake_limits(limits: CallerLimits) -> IntakeLimits {
+    IntakeLimits {
+        header_bytes: limits.header_bytes,
+        waits: WaitLimits { idle: limits.idle_timeout, head: limits.idle_timeout },
+    }
+}
+
 /// A slot request whose reply is awaited.
 pub(super) struct AwaitedReply {
     pub(super) broker: PeerId,
@@ -87,7 +101,7 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) metrics: Metrics,
     pub(super) pool: Pool,
-    pub(super) byte_budget: Rc<ByteBudget>,
+    pub(super) byte_budget: Rc<ByteBudget<UpstreamId>>,
     pub(super) active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
     pub(super) freshness: Cell<Freshness>,
     pub(super) key_confirmation: Cell<KeyConfirmation>,
@@ -120,7 +134,6 @@
     pub(super) pending_credit_requests: RefCell<HashMap<u32, AwaitedCredit>>,
     pub(super) retry_budget: RefCell<RetryBudget>,
     pub(super) peers: RefCell<Peers>,
-    pub(super) close_idle_notify: Notify,
     pub(super) closing_idle_callers: Cell<bool>,
     /// How long requests have taken.
     pub(super) served_times: RefCell<ServedTimes>,
@@ -128,7 +141,8 @@
     /// Notified when a planned stop answers all requests that are still open.
     pub(super) last_answer_notify: Notify,
     pub(super) open_requests: Cell<usize>,
-    pub(super) open_connections: Cell<usize>,
+    /// Connections of callers.
+    pub(super) intake: Rc<Intake<UpstreamId>>,
     pub(super) read_schedule: RefCell<ReadSchedule>,
     /// What upstreams have said of themselves.
     pub(super) upstream_notices: RefCell<UpstreamNotices>,
@@ -167,6 +181,9 @@
         // Peers of the version before do not name the process that they reply to. Processes at one
         // address therefore begin to number their requests at different values.
         let first_number = process_id as u32;
+        let byte_budget = ByteBudget::new(settings.held_limit_bytes);
+        let limits = intake_limits(CallerLimits::default());
+        let intake = Intake::new(limits, byte_budget.clone(), clock.clone());
         Ok(Shared {
             own_zone: settings.topology.own_zone.as_str().into(),
             socket,
@@ -182,7 +199,8 @@
             reachability: RefCell::default(),
             upstreams: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(settings.retry_limit, now)),
-            byte_budget: ByteBudget::new(settings.held_limit_bytes),
+            byte_budget,
+            intake,
             settings: RefCell::new(settings),
             process_id,
             header_codec,
@@ -197,13 +215,11 @@
             local_credit: RefCell::new(LocalCredit::new(first_number, now)),
             pending_credit_requests: RefCell::default(),
             peers: RefCell::default(),
-            close_idle_notify: Notify::new(),
             closing_idle_callers: Cell::new(false),
             served_times: RefCell::default(),
             planned_stop: Cell::new(None),
             last_answer_notify: Notify::new(),
             open_requests: Cell::new(0),
-            open_connections: Cell::new(0),
             read_schedule: RefCell::default(),
             upstream_notices: RefCell::default(),
             upstream_limits: RefCell::default(),
@@ -234,6 +250,17 @@
             .map_or_else(CallerLimits::default, |configuration| configuration.limits)
     }
 
+    /// Limits on callers' connections: those of the configuration, and shorter ones at the end of a
+    /// planned stop.
+    fn intake_limits(&self) -> IntakeLimits {
+        let mut limits = intake_limits(self.caller_limits());
+        if self.closing_idle_callers.get() {
+            limits.waits.idle = limits.waits.idle.min(STOP_IDLE_TIMEOUT);
+            limits.waits.head = limits.waits.head.min(STOP_IDLE_TIMEOUT);
+        }
+        limits
+    }
+
     /// Whether the store has confirmed the configuration recently enough to accept customers' keys.
     pub(super) fn accepts_keys(&self) -> bool {
         let validity = self.settings.borrow().key_validity;
@@ -340,12 +367,11 @@
 
     pub(super) fn close_idle_callers(&self) {
         self.closing_idle_callers.set(true);
-        self.close_idle_notify.notify_waiters();
     }
 
     /// Numbers of open requests and of open callers' connections.
     pub(super) fn open_counts(&self) -> (usize, usize) {
-        (self.open_requests.get(), self.open_connections.get())
+        (self.open_requests.get(), self.intake.connection_count())
     }
 
     /// Updates state that changes with time alone, and sends the replies that follow from it.
@@ -359,6 +385,8 @@
             peers.expire_departed(now);
             self.peer_health.borrow_mut().retain(|id| peers.is_member(id));
         }
+        self.intake.set_limits(self.intake_limits());
+        self.intake.close_expired();
         self.crash_quarantine.borrow_mut().expire(now);
         self.expire_upstream_notices(now);
         self.expire_streams(now);
--- /dev/null
+++ b/components/intake/src/body.rs
@@ -0,0 +1,56 @@
+//! Reads the bodies of requests.
+
+use bytes::{Bytes, BytesMut};
+use errors::{Refusal, ResultCode};
+use futures_util::future::poll_fn;
+use ntex::http::{Payload, Request};
+
+use crate::byte_budget::UpstreamKey;
+use crate::connection::Connection;
+use crate::refusal::no_room;
+
+/// Body of a request, which has not been read yet.
+pub struct IncomingBody {
+    payload: Payload,
+}
+
+impl IncomingBody {
+    /// Takes the body out of a request.
+    pub fn take(request: &mut Request) -> IncomingBody {
+        IncomingBody { payload: request.take_payload() }
+    }
+
+    /// Reads the body. Refuses one that is larger than the limit, that is malformed or too slow, or for
+    /// which there is no room.
+    pub async fn read<K: UpstreamKey>(
+        self,
+        connection: &Connection<K>,
+        limit_bytes: usize,
+    ) -> Result<Bytes, Refusal> {
+        tokio::select! {
+            body = read_payload(connection, self.payload, limit_bytes) => body,
+            refusal = connection.refused() => Err(refusal),
+        }
+    }
+}
+
+/// Reads a body to its end.
+async fn read_payload<K: UpstreamKey>(
+    connection: &Connection<K>,
+    mut payload: Payload,
+    limit_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = poll_fn(|cx| payload.poll_recv(cx)).await {
+        let chunk = chunk.map_err(|error| {
+            Refusal::not_run(ResultCode::MalformedRequest).with_message(error.to_string())
+        })?;
+        if body.len() + chunk.len() > limit_bytes {
+            return Err(Refusal::not_run(ResultCode::BodyTooLarge));
+        }
+        body.reserve(chunk.len());
+        connection.hold_body(body.capacity()).map_err(|_| no_room())?;
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/components/intake/src/intake.rs
@@ -0,0 +1,94 @@
+//! Connections of a listener, and what they share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+
+use clock::Clock;
+
+use crate::byte_budget::{ByteBudget, UpstreamKey};
+use crate::connection::Connection;
+use crate::connection_table::{CloseReason, ConnectionId, ConnectionTable, WaitLimits};
+
+/// Limits on the connections of a listener and on their requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IntakeLimits {
+    /// Maximum size of the names and values of a request's headers.
+    pub header_bytes: usize,
+    /// Longest times that a connection may wait for its client.
+    pub waits: WaitLimits,
+}
+
+/// Connections that a listener has accepted, and the room for their requests. `K` identifies upstreams in the
+/// budget.
+pub struct Intake<K: UpstreamKey> {
+    limits: Cell<IntakeLimits>,
+    pub(crate) budget: Rc<ByteBudget<K>>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) table: RefCell<ConnectionTable>,
+    connections: RefCell<HashMap<ConnectionId, Weak<Connection<K>>>>,
+}
+
+impl<K: UpstreamKey> Intake<K> {
+    /// Creates an intake without connections.
+    pub fn new(
+        limits: IntakeLimits,
+        budget: Rc<ByteBudget<K>>,
+        clock: Arc<dyn Clock>,
+    ) -> Rc<Intake<K>> {
+        Rc::new(Intake {
+            limits: Cell::new(limits),
+            budget,
+            clock,
+            table: RefCell::default(),
+            connections: RefCell::default(),
+        })
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> IntakeLimits {
+        self.limits.get()
+    }
+
+    /// Changes the limits; open connections stay.
+    pub fn set_limits(&self, limits: IntakeLimits) {
+        self.limits.set(limits);
+    }
+
+    /// Number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.table.borrow().len()
+    }
+
+    /// Adds a connection that has been accepted.
+    pub fn open(self: &Rc<Self>) -> Rc<Connection<K>> {
+        let id = self.table.borrow_mut().open(self.clock.now());
+        let connection = Rc::new(Connection::new(id, self.clone()));
+        self.connections.borrow_mut().insert(id, Rc::downgrade(&connection));
+        connection
+    }
+
+    /// Closes the connections whose clients have taken too long.
+    pub fn close_expired(&self) {
+        let now = self.clock.now();
+        let expired = self.table.borrow_mut().close_expired(self.limits.get().waits, now);
+        for (id, reason) in expired {
+            self.close(id, reason);
+        }
+    }
+
+    /// Closes a connection that waits for its client.
+    pub(crate) fn close(&self, id: ConnectionId, reason: CloseReason) {
+        let connection = self.connections.borrow().get(&id).and_then(Weak::upgrade);
+        if let Some(connection) = connection {
+            connection.close(reason);
+        }
+    }
+
+    /// Removes a connection that has ended.
+    pub(crate) fn remove(&self, id: ConnectionId) {
+        self.connections.borrow_mut().remove(&id);
+        self.table.borrow_mut().close(id);
+    }
+}
--- a/components/gateway/tests/byte_budget.rs
+++ b/components/intake/tests/byte_budget.rs
@@ -1,10 +1,17 @@
-//! Budget of the bytes that a gateway holds.
+//! Budget of the bytes that a process holds.
 
-use gateway::byte_budget::{BudgetExceeded, ByteBudget};
-use gateway::model::UpstreamId;
+use std::rc::Rc;
 
-const FAULTY: UpstreamId = UpstreamId(1);
-const SOUND: UpstreamId = UpstreamId(2);
+use intake::byte_budget::{BudgetExceeded, ByteBudget, HeldBytes};
+
+const FAULTY: u32 = 1;
+const SOUND: u32 = 2;
+
+/// Reserves room for a small request that has been received.
+fn admit_request(budget: &Rc<ByteBudget<u32>>) -> Result<HeldBytes<u32>, BudgetExceeded> {
+    let mut held = budget.begin_request();
+    held.admit_request().map(|()| held)
+}
 
 /// Load pattern: one upstream sends without end to all the requests that it is sent.
 #[test]
@@ -24,12 +31,12 @@
 /// Load pattern: callers' large bodies wait for slots.
 #[test]
 fn request_is_taken_although_there_is_no_room_for_it() {
-    let budget = ByteBudget::new(1 << 20);
-    let mut waiting = budget.admit_request().expect("room");
+    let budget: Rc<ByteBudget<u32>> = ByteBudget::new(1 << 20);
+    let mut waiting = admit_request(&budget).expect("room");
     assert_eq!(waiting.hold(700 << 10), Ok(()));
-    let mut next = budget.admit_request().expect("room for a small one");
+    let mut next = admit_request(&budget).expect("room for a small one");
     assert_eq!(next.hold(128 << 10), Err(BudgetExceeded));
-    let small: Vec<_> = std::iter::from_fn(|| budget.admit_request().ok()).take(100).collect();
+    let small: Vec<_> = std::iter::from_fn(|| admit_request(&budget).ok()).take(100).collect();
     assert!((1..100).contains(&small.len()), "{} small requests", small.len());
     drop(waiting);
     assert_eq!(next.hold(128 << 10), Ok(()));
@@ -41,12 +48,29 @@
     let budget = ByteBudget::new(8 << 20);
     let mut large = Vec::new();
     for (number, bytes) in (0..300).zip([1 << 20, 128 << 10, 16 << 10].into_iter().cycle()) {
-        let mut held = budget.begin_response(UpstreamId(number));
+        let mut held = budget.begin_response(number);
         if held.hold(bytes).is_ok() {
             large.push(held);
         }
     }
-    let mut small: Vec<_> = std::iter::from_fn(|| budget.admit_request().ok()).take(100).collect();
+    let mut small: Vec<_> = std::iter::from_fn(|| admit_request(&budget).ok()).take(100).collect();
     let admitted = small.iter_mut().filter_map(|held| held.hold(4 << 10).ok()).count();
     assert_eq!(admitted, 100);
 }
+
+/// Load pattern: requests of many lines are received and do not end, beside small ones.
+#[test]
+fn requests_that_do_not_end_leave_room_for_small_ones() {
+    let budget: Rc<ByteBudget<u32>> = ByteBudget::new(8 << 20);
+    let mut received = Vec::new();
+    for bytes in [1 << 20, 128 << 10, 16 << 10].into_iter().cycle().take(300) {
+        let mut held = budget.begin_request();
+        if held.hold(bytes).is_ok() {
+            received.push(held);
+        }
+    }
+    let mut small = budget.begin_request();
+    assert_eq!(small.hold(4 << 10), Ok(()));
+    assert_eq!(small.admit_request(), Ok(()));
+    assert_eq!(small.hold(16 << 10), Err(BudgetExceeded), "no longer small");
+}
