Serve requests with any number of header names

What callers saw: a single request within MaxHeaderBytes, in calm, with 200 short header lines of different names got 431, and nothing reached an upstream.

Cause: ntex refuses more than 96 names unless told otherwise. The users' pages know no such limit.

Change: the server has no limit on names. Why it works: a head needs room for what its lines take before the server sees it, so that a count of names protects nothing any more.

--- a/components/intake/src/server.rs
+++ b/components/intake/src/server.rs
@@ -49,6 +49,7 @@
             HttpServiceConfig::new()
                 .set_keepalive(KeepAlive::Os)
                 .set_client_timeout(Seconds::ZERO)
+                .set_max_headers(usize::MAX)
                 .set_max_buf_size(usize::MAX),
         )
         .into()
