Refuse a head that does not come within HeaderTimeoutMs

What callers saw: a client that began a head and did not end it kept its connection for the idle timeout, and then got no answer.

Cause: HeaderTimeoutMs was not decoded; a connection with part of a head counted as idle.

Evidence: heads_without_end_are_refused_in_time failed on: with a limit of 1 s and an idle timeout of 60 s the connections closed without an answer.

Change: the time of a head runs from its first byte on, and ends with 408, request_too_slow (1011), not run. Why it works: the table of connections knows since when a head has been received, whatever arrives in between. A configuration without the field gets 3 s, as the users' pages say.

--- a/components/gateway/src/model/configuration.rs
+++ b/components/gateway/src/model/configuration.rs
@@ -136,8 +136,9 @@
     pub header_bytes: usize,
     /// Maximum size of a request body.
     pub body_bytes: usize,
-    /// Maximum time that a connection may stay open without a complete request head. The connection
-    /// is closed when no request arrives or when a head is received too slowly.
+    /// Maximum time for a complete request head, from its first byte on.
+    pub header_timeout: Duration,
+    /// Maximum time that a connection may wait for a request, or for more of a request's body.
     pub idle_timeout: Duration,
 }
 
@@ -147,6 +148,7 @@
         CallerLimits {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -81,7 +81,7 @@
 fn intake_limits(limits: CallerLimits) -> IntakeLimits {
     IntakeLimits {
         header_bytes: limits.header_bytes,
-        waits: WaitLimits { idle: limits.idle_timeout, head: limits.idle_timeout },
+        waits: WaitLimits { idle: limits.idle_timeout, head: limits.header_timeout },
     }
 }
 
