Let ordinary requests have the room of those whose bodies do not come

What callers saw: beside 1,500 small requests whose bodies did not come, an ordinary request got 503 (2013, gateway_full). Such requests were never refused.

Cause: a request took its reserve when its head had arrived, and nothing told those that wait for an upstream from those that wait for their client; a connection with a request counted as busy, without a limit on its time.

Evidence: bodies_that_do_not_come_leave_room and bodies_that_do_not_come_are_refused_in_time failed on: 2013 beside the crowd, and no answer in 120 s.

Change: a request that is being received holds what it has sent, and takes its reserve when it is complete. A small one (8 KiB with its head) that finds no room displaces the unfinished one with the largest product of what it holds and for how long; that one gets 503, not run. Without more of a body for IdleTimeoutMs a request gets 408. New: the metrics _caller_connections and _displaced_connections_total, the field displaced_connections of the line load.

Why it works: ordinary requests come whole, within milliseconds; those that hold room for long are displaced first. What is displaced has not been passed on, so that the refusal is true.

Measured: both tests pass, an ordinary request beside the crowd is served.

--- a/components/gateway/src/runtime/internal_server.rs
+++ b/components/gateway/src/runtime/internal_server.rs
@@ -21,10 +21,11 @@
 
 impl Shared {
     fn answer_metrics(&self) -> Response {
-        let (open_requests, _) = self.open_counts();
+        let (open_requests, connections) = self.open_counts();
         let waiting_requests = self.pending_slot_requests.borrow().len();
         let gateways = self.peers.borrow().gateway_count();
         self.metrics.set_load(open_requests, waiting_requests, gateways);
+        self.metrics.set_connections(connections, self.intake.displaced_count());
         let (parts, requests) = self.crash_quarantine.borrow().quarantined_counts();
         self.metrics.set_quarantined(parts, requests);
         self.metrics.set_leaving_upstreams(self.upstream_notices.borrow().leaving_count());
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -31,6 +31,8 @@
     pub(super) misaddressed_messages: IntCounter,
     /// Reads of the store that ended at a page that it does not serve.
     pub(super) refused_store_pages: IntCounter,
+    caller_connections: IntGauge,
+    displaced_connections: IntCounter,
 }
 
 impl Metrics {
@@ -73,6 +75,10 @@
             "dragonflyfront_gateway_refused_store_pages_total",
             "Reads of everything that ended at a page that the store does not serve",
         )?;
+        let displaced_connections = IntCounter::new(
+            "dragonflyfront_gateway_displaced_connections_total",
+            "Connections of callers that were closed for others",
+        )?;
         registry.register(Box::new(responses.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
         let quarantined_parts =
@@ -84,8 +90,10 @@
         let limited_upstreams =
             gauge("limited_upstreams", "Upstreams that name a limit on their requests")?;
         let held_bytes = gauge("held_bytes", "Bytes held or reserved for requests and responses")?;
+        let caller_connections = gauge("caller_connections", "Open connections of callers")?;
         for gauge in [
             &configuration_version,
+            &caller_connections,
             &open_requests,
             &waiting_requests,
             &gateways,
@@ -101,6 +109,7 @@
         registry.register(Box::new(upstream_connections.clone()))?;
         registry.register(Box::new(misaddressed_messages.clone()))?;
         registry.register(Box::new(refused_store_pages.clone()))?;
+        registry.register(Box::new(displaced_connections.clone()))?;
         Ok(Metrics {
             registry,
             responses,
@@ -118,6 +127,8 @@
             upstream_connections,
             misaddressed_messages,
             refused_store_pages,
+            caller_connections,
+            displaced_connections,
         })
     }
 
@@ -151,6 +162,12 @@
         self.held_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of callers' connections, and of those that have been closed for others.
+    pub(super) fn set_connections(&self, open: usize, displaced: u64) {
+        self.caller_connections.set(i64::try_from(open).unwrap_or(i64::MAX));
+        self.displaced_connections.inc_by(displaced - self.displaced_connections.get());
+    }
+
     pub(super) fn set_configuration_version(&self, version: u64) {
         self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -81,7 +81,11 @@
 fn intake_limits(limits: CallerLimits) -> IntakeLimits {
     IntakeLimits {
         header_bytes: limits.header_bytes,
-        waits: WaitLimits { idle: limits.idle_timeout, head: limits.header_timeout },
+        waits: WaitLimits {
+            idle: limits.idle_timeout,
+            head: limits.header_timeout,
+            body: limits.idle_timeout,
+        },
     }
 }
 
@@ -413,7 +417,8 @@
             String::new()
         };
         info!(
-            "load open={open} connections={connections} pending_slot_requests={pending} brokered_waiting={waiting} comparisons={} upstreams={upstreams}",
+            "load open={open} connections={connections} displaced_connections={} pending_slot_requests={pending} brokered_waiting={waiting} comparisons={} upstreams={upstreams}",
+            self.intake.displaced_count(),
             broker.scheduler().comparisons(),
         );
     }
--- a/components/intake/src/connection.rs
+++ b/components/intake/src/connection.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 
-use crate::byte_budget::{BudgetExceeded, HeldBytes, UpstreamKey};
+use crate::byte_budget::{BudgetExceeded, HeldBytes, SMALL_REQUEST_BYTES, UpstreamKey};
 use crate::connection_table::{CloseReason, ConnectionId, ConnectionPhase};
 use crate::head_filter::{HeadReceiver, Received, pass_on};
 use crate::intake::Intake;
@@ -79,6 +79,8 @@
 
     /// Holds room for the request that is being received, with this much memory of its body.
     pub(crate) fn hold_body(&self, body_bytes: usize) -> Result<(), BudgetExceeded> {
+        let now = self.intake.clock.now();
+        self.intake.table.borrow_mut().record_progress(self.id, now);
         self.body_bytes.set(body_bytes);
         self.hold_received()
     }
@@ -88,27 +90,43 @@
         self.hold(head_bytes + self.body_bytes.get())
     }
 
+    /// A small request takes the room of requests that wait for their clients, if there is no other.
     fn hold(&self, bytes: usize) -> Result<(), BudgetExceeded> {
-        self.with_room(|held| held.hold(bytes))
+        let is_small = bytes <= SMALL_REQUEST_BYTES;
+        self.with_room(is_small, |held| held.hold(bytes))?;
+        self.intake.table.borrow_mut().record_held(self.id, bytes);
+        Ok(())
     }
 
     /// Ends the reception of a request, and reserves room for its response.
     pub fn admit_request(&self) -> Result<HeldBytes<K>, BudgetExceeded> {
-        self.with_room(HeldBytes::admit_request)?;
+        self.with_room(true, HeldBytes::admit_request)?;
+        self.intake.table.borrow_mut().record_held(self.id, 0);
         self.set_phase(ConnectionPhase::Response);
         self.held.take().ok_or(BudgetExceeded)
     }
 
-    /// Takes room, unless the connection is about to close.
+    /// Takes room, from requests that wait for their clients if `may_displace` and there is no other.
     fn with_room(
         &self,
-        take: impl FnOnce(&mut HeldBytes<K>) -> Result<(), BudgetExceeded>,
+        may_displace: bool,
+        mut take: impl FnMut(&mut HeldBytes<K>) -> Result<(), BudgetExceeded>,
     ) -> Result<(), BudgetExceeded> {
         if self.closing.get() {
             return Err(BudgetExceeded);
         }
         let mut held = self.held.borrow_mut();
-        take(held.get_or_insert_with(|| self.intake.budget.begin_request()))
+        let held = held.get_or_insert_with(|| self.intake.budget.begin_request());
+        loop {
+            let Err(error) = take(held) else { return Ok(()) };
+            let now = self.intake.clock.now();
+            let displaced = if may_displace {
+                self.intake.table.borrow_mut().displace_holder(self.id, now)
+            } else {
+                None
+            };
+            self.intake.close(displaced.ok_or(error)?, CloseReason::RoomNeeded);
+        }
     }
 
     /// Begins a request that the HTTP server has read the head of, until the guard is dropped.
@@ -161,6 +179,7 @@
         let refusal = match reason {
             CloseReason::Idle => None,
             CloseReason::SlowRequest => Some(Refusal::not_run(ResultCode::RequestTooSlow)),
+            CloseReason::RoomNeeded => Some(no_room()),
         };
         self.refusal.replace(refusal);
         self.begin_close();
--- a/components/intake/src/connection_table.rs
+++ b/components/intake/src/connection_table.rs
@@ -1,6 +1,8 @@
-//! Connections that a listener has accepted: which of them are closed when their time runs out.
+//! Connections that a listener has accepted: which of them are closed, when time or room runs out.
 //!
-//! Load pattern: clients open connections and do not use them, or begin requests and do not end them.
+//! Load pattern: clients begin requests and do not end them, and hold the room of others with them. A
+//! connection that waits for its client yields to one that has something to say: the one that has held most
+//! for longest.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -31,6 +33,8 @@
     Idle,
     /// The rest of a request did not come in time.
     SlowRequest,
+    /// Another request needs the room that it holds.
+    RoomNeeded,
 }
 
 /// Longest times that a connection may wait for its client.
@@ -40,12 +44,28 @@
     pub idle: Duration,
     /// For a complete head, from its first byte on.
     pub head: Duration,
+    /// For the next part of a body.
+    pub body: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Connection {
     phase: ConnectionPhase,
-    since: Instant,
+    /// Start of the phase, or the last progress in it.
+    progress_at: Instant,
+    /// Start of the idle time, or of the request that is being received.
+    waits_since: Instant,
+    held_bytes: usize,
+}
+
+impl Connection {
+    fn waits_for_client(&self) -> bool {
+        use ConnectionPhase::{Body, Closing, Head, Idle, Response};
+        match self.phase {
+            Idle | Head | Body => true,
+            Response | Closing => false,
+        }
+    }
 }
 
 /// All connections of a listener.
@@ -70,7 +90,9 @@
     pub fn open(&mut self, now: Instant) -> ConnectionId {
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
-        self.connections.insert(id, Connection { phase: ConnectionPhase::Idle, since: now });
+        let phase = ConnectionPhase::Idle;
+        let connection = Connection { phase, progress_at: now, waits_since: now, held_bytes: 0 };
+        self.connections.insert(id, connection);
         id
     }
 
@@ -90,8 +112,30 @@
         if connection.phase == ConnectionPhase::Closing {
             return;
         }
+        let begins = matches!(phase, ConnectionPhase::Idle | ConnectionPhase::Head)
+            || connection.phase == ConnectionPhase::Idle;
+        if begins {
+            connection.waits_since = now;
+        }
+        if phase == ConnectionPhase::Idle {
+            connection.held_bytes = 0;
+        }
         connection.phase = phase;
-        connection.since = now;
+        connection.progress_at = now;
+    }
+
+    /// Records that more of a request's body has arrived.
+    pub fn record_progress(&mut self, id: ConnectionId, now: Instant) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.progress_at = now;
+        }
+    }
+
+    /// Records how much the request that is being received holds.
+    pub fn record_held(&mut self, id: ConnectionId, held_bytes: usize) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.held_bytes = held_bytes;
+        }
     }
 
     /// Marks the connections whose clients have taken too long as closing, and returns them.
@@ -105,15 +149,30 @@
             let (limit, reason) = match connection.phase {
                 ConnectionPhase::Idle => (limits.idle, CloseReason::Idle),
                 ConnectionPhase::Head => (limits.head, CloseReason::SlowRequest),
-                ConnectionPhase::Body | ConnectionPhase::Response | ConnectionPhase::Closing => {
-                    continue;
-                }
+                ConnectionPhase::Body => (limits.body, CloseReason::SlowRequest),
+                ConnectionPhase::Response | ConnectionPhase::Closing => continue,
             };
-            if now.saturating_duration_since(connection.since) > limit {
+            if now.saturating_duration_since(connection.progress_at) > limit {
                 connection.phase = ConnectionPhase::Closing;
                 expired.push((*id, reason));
             }
         }
         expired
     }
+
+    /// Marks the connection as closing that makes the most room for another one, and returns it: the
+    /// one with the largest product of what its unfinished request holds and for how long.
+    pub fn displace_holder(&mut self, for_id: ConnectionId, now: Instant) -> Option<ConnectionId> {
+        let waiting = self.connections.iter().filter(|(id, connection)| {
+            **id != for_id && connection.waits_for_client() && connection.held_bytes > 0
+        });
+        let cost = |connection: &Connection| {
+            let held_for = now.saturating_duration_since(connection.waits_since);
+            connection.held_bytes as u128 * held_for.as_micros()
+        };
+        let (id, _) = waiting.max_by_key(|(_, connection)| cost(connection))?;
+        let id = *id;
+        self.set_phase(id, ConnectionPhase::Closing, now);
+        Some(id)
+    }
 }
--- a/components/intake/src/intake.rs
+++ b/components/intake/src/intake.rs
@@ -28,6 +28,8 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) table: RefCell<ConnectionTable>,
     connections: RefCell<HashMap<ConnectionId, Weak<Connection<K>>>>,
+    /// Connections that were closed for others.
+    displaced_count: Cell<u64>,
 }
 
 impl<K: UpstreamKey> Intake<K> {
@@ -43,6 +45,7 @@
             clock,
             table: RefCell::default(),
             connections: RefCell::default(),
+            displaced_count: Cell::new(0),
         })
     }
 
@@ -61,6 +64,11 @@
         self.table.borrow().len()
     }
 
+    /// Connections that were closed because another request needed their room.
+    pub fn displaced_count(&self) -> u64 {
+        self.displaced_count.get()
+    }
+
     /// Adds a connection that has been accepted.
     pub fn open(self: &Rc<Self>) -> Rc<Connection<K>> {
         let id = self.table.borrow_mut().open(self.clock.now());
@@ -80,12 +88,19 @@
 
     /// Closes a connection that waits for its client.
     pub(crate) fn close(&self, id: ConnectionId, reason: CloseReason) {
+        if reason == CloseReason::RoomNeeded {
+            self.count_displaced();
+        }
         let connection = self.connections.borrow().get(&id).and_then(Weak::upgrade);
         if let Some(connection) = connection {
             connection.close(reason);
         }
     }
 
+    fn count_displaced(&self) {
+        self.displaced_count.set(self.displaced_count.get() + 1);
+    }
+
     /// Removes a connection that has ended.
     pub(crate) fn remove(&self, id: ConnectionId) {
         self.connections.borrow_mut().remove(&id);
