Limit callers' connections to a share of the descriptors

What callers saw: nothing but the process's descriptors limited the connections that callers had open, so that silent ones would keep all other callers out, and the gateway from its upstreams and the store.

Cause: connections were accepted without a count.

Beyond that a new connection displaces the one that has waited longest for its client, and the next is accepted when that one has closed. If all are at work, the new one is closed at once.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -39,4 +39,4 @@
 pub mod upstream_table;
 
 pub use runtime::{BoundAddresses, Directory, Gateway, GatewayHandle};
-pub use settings::Settings;
+pub use settings::{ConnectionLimits, Settings};
--- a/components/gateway/src/runtime/callers.rs
+++ b/components/gateway/src/runtime/callers.rs
@@ -53,14 +53,19 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = shared.intake.open();
-                let served =
-                    serve_connection(shared.clone(), configuration.clone(), connection, stream);
+                let Some(connection) = shared.intake.open() else { continue };
+                let served = serve_connection(
+                    shared.clone(),
+                    configuration.clone(),
+                    connection.clone(),
+                    stream,
+                );
                 tokio::task::spawn_local(async move {
                     if let Err(error) = served.await {
                         warn!("caller.connection error={error:#}");
                     }
                 });
+                connection.wait_for_displaced().await;
             }
             Err(error) => {
                 warn!("caller.accept error={error}");
--- a/components/gateway/src/runtime/metrics.rs
+++ b/components/gateway/src/runtime/metrics.rs
@@ -77,7 +77,7 @@
         )?;
         let displaced_connections = IntCounter::new(
             "dragonflyfront_gateway_displaced_connections_total",
-            "Connections of callers that were closed for others",
+            "Connections of callers that were closed for others, or at once",
         )?;
         registry.register(Box::new(responses.clone()))?;
         registry.register(Box::new(first_event_seconds.clone()))?;
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -78,8 +78,9 @@
 }
 
 /// Limits on callers' connections, in the form of their intake.
-fn intake_limits(limits: CallerLimits) -> IntakeLimits {
+fn intake_limits(settings: &Settings, limits: CallerLimits) -> IntakeLimits {
     IntakeLimits {
+        connections: settings.connection_limits.callers,
         header_bytes: limits.header_bytes,
         waits: WaitLimits {
             idle: limits.idle_timeout,
@@ -186,7 +187,7 @@
         // address therefore begin to number their requests at different values.
         let first_number = process_id as u32;
         let byte_budget = ByteBudget::new(settings.held_limit_bytes);
-        let limits = intake_limits(CallerLimits::default());
+        let limits = intake_limits(&settings, CallerLimits::default());
         let intake = Intake::new(limits, byte_budget.clone(), clock.clone());
         Ok(Shared {
             own_zone: settings.topology.own_zone.as_str().into(),
@@ -257,7 +258,7 @@
     /// Limits on callers' connections: those of the configuration, and shorter ones at the end of a
     /// planned stop.
     fn intake_limits(&self) -> IntakeLimits {
-        let mut limits = intake_limits(self.caller_limits());
+        let mut limits = intake_limits(&self.settings.borrow(), self.caller_limits());
         if self.closing_idle_callers.get() {
             limits.waits.idle = limits.waits.idle.min(STOP_IDLE_TIMEOUT);
             limits.waits.head = limits.waits.head.min(STOP_IDLE_TIMEOUT);
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -7,6 +7,9 @@
 use crate::model::Topology;
 use crate::retry_budget::RetryLimit;
 
+/// Share of the descriptors for callers' connections.
+const CALLER_SHARE: f64 = 0.7;
+
 /// Settings of a gateway. Listen addresses take effect at start only.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -31,6 +34,24 @@
     pub key_validity: Option<Duration>,
     /// Bytes of requests and responses that may be held at a time.
     pub held_limit_bytes: usize,
+    /// Connections that may be open at a time, by listener.
+    pub connection_limits: ConnectionLimits,
     /// Maximum duration of a planned stop.
     pub grace_period: Duration,
 }
+
+/// Connections that each listener keeps open at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Connections of callers.
+    pub callers: usize,
+}
+
+impl ConnectionLimits {
+    /// Shares out the descriptors that a process may open for sockets. What is left over is for
+    /// connections to upstreams, to the store and to other gateways.
+    pub fn share_out(descriptors: usize) -> ConnectionLimits {
+        let share = |part: f64| ((descriptors as f64 * part) as usize).max(1);
+        ConnectionLimits { callers: share(CALLER_SHARE) }
+    }
+}
--- a/components/intake/src/connection.rs
+++ b/components/intake/src/connection.rs
@@ -19,6 +19,8 @@
 /// Connection of a client; leaves its intake when dropped.
 pub struct Connection<K: UpstreamKey> {
     id: ConnectionId,
+    /// Connection that was closed for this one.
+    displaced: Option<ConnectionId>,
     pub(crate) intake: Rc<Intake<K>>,
     /// Head of the request that is being received.
     head: Cell<RequestHead>,
@@ -45,9 +47,14 @@
 }
 
 impl<K: UpstreamKey> Connection<K> {
-    pub(crate) fn new(id: ConnectionId, intake: Rc<Intake<K>>) -> Connection<K> {
+    pub(crate) fn new(
+        id: ConnectionId,
+        displaced: Option<ConnectionId>,
+        intake: Rc<Intake<K>>,
+    ) -> Connection<K> {
         Connection {
             id,
+            displaced,
             intake,
             head: Cell::default(),
             body_bytes: Cell::default(),
@@ -61,6 +68,14 @@
         }
     }
 
+    /// Waits until the connection has ended that was closed for this one, so that a crowd of new ones does
+    /// not outrun the closing.
+    pub async fn wait_for_displaced(&self) {
+        if let Some(displaced) = self.displaced {
+            self.intake.wait_for_end(displaced).await;
+        }
+    }
+
     /// Sets the stream below the HTTP server, until the guard is dropped.
     pub(crate) fn attach(&self, io: IoRef) -> StreamGuard<'_, K> {
         self.io.replace(Some(io));
@@ -177,7 +192,7 @@
     /// Closes the connection for a reason. The client is told if it has begun a request.
     pub(crate) fn close(&self, reason: CloseReason) {
         let refusal = match reason {
-            CloseReason::Idle => None,
+            CloseReason::Idle | CloseReason::DescriptorNeeded => None,
             CloseReason::SlowRequest => Some(Refusal::not_run(ResultCode::RequestTooSlow)),
             CloseReason::RoomNeeded => Some(no_room()),
         };
--- a/components/intake/src/connection_table.rs
+++ b/components/intake/src/connection_table.rs
@@ -1,12 +1,16 @@
 //! Connections that a listener has accepted: which of them are closed, when time or room runs out.
 //!
-//! Load pattern: clients begin requests and do not end them, and hold the room of others with them. A
-//! connection that waits for its client yields to one that has something to say: the one that has held most
-//! for longest.
+//! Load pattern: clients open more connections than the process has descriptors and say nothing, begin
+//! requests and do not end them, and hold the room of others with them. A connection that waits for its
+//! client yields to one that has something to say: the one that has waited longest where descriptors are
+//! short, and the one that has held most for longest where memory is.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+/// Connections count as many when they take the limit divided by this.
+const CROWDED_DIVISOR: usize = 2;
+
 /// Identifies a connection of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ConnectionId(u64);
@@ -33,6 +37,8 @@
     Idle,
     /// The rest of a request did not come in time.
     SlowRequest,
+    /// Another connection needs its descriptor.
+    DescriptorNeeded,
     /// Another request needs the room that it holds.
     RoomNeeded,
 }
@@ -48,6 +54,20 @@
     pub body: Duration,
 }
 
+/// Result of a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Opening {
+    /// It is kept. Another one has to be closed for it, if there are too many.
+    Kept {
+        /// The new connection.
+        id: ConnectionId,
+        /// The one to close.
+        displaced: Option<ConnectionId>,
+    },
+    /// It is closed: all others are at work.
+    Refused,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Connection {
     phase: ConnectionPhase,
@@ -69,13 +89,29 @@
 }
 
 /// All connections of a listener.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionTable {
+    limit: usize,
     last_id: u64,
     connections: HashMap<ConnectionId, Connection>,
 }
 
 impl ConnectionTable {
+    /// Creates the table of a listener that keeps at most `limit` connections.
+    pub fn new(limit: usize) -> ConnectionTable {
+        ConnectionTable { limit, last_id: 0, connections: HashMap::new() }
+    }
+
+    /// Changes the number of connections that are kept.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
+    /// Whether connections are so many that none is kept for longer than it has to be.
+    pub fn is_crowded(&self) -> bool {
+        self.connections.len() >= self.limit / CROWDED_DIVISOR
+    }
+
     /// Number of open connections.
     pub fn len(&self) -> usize {
         self.connections.len()
@@ -86,14 +122,20 @@
         self.connections.is_empty()
     }
 
-    /// Adds a new connection.
-    pub fn open(&mut self, now: Instant) -> ConnectionId {
+    /// Adds a new connection, unless there are too many that are at work.
+    pub fn open(&mut self, now: Instant) -> Opening {
+        let mut displaced = None;
+        if self.connections.len() >= self.limit {
+            let Some(longest_waiting) = self.longest_waiting() else { return Opening::Refused };
+            self.set_phase(longest_waiting, ConnectionPhase::Closing, now);
+            displaced = Some(longest_waiting);
+        }
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
         let phase = ConnectionPhase::Idle;
         let connection = Connection { phase, progress_at: now, waits_since: now, held_bytes: 0 };
         self.connections.insert(id, connection);
-        id
+        Opening::Kept { id, displaced }
     }
 
     /// Removes a connection that has ended.
@@ -175,4 +217,10 @@
         self.set_phase(id, ConnectionPhase::Closing, now);
         Some(id)
     }
+
+    fn longest_waiting(&self) -> Option<ConnectionId> {
+        let waiting =
+            self.connections.iter().filter(|(_, connection)| connection.waits_for_client());
+        waiting.min_by_key(|(_, connection)| connection.waits_since).map(|(id, _)| *id)
+    }
 }
--- a/components/intake/src/server.rs
+++ b/components/intake/src/server.rs
@@ -96,7 +96,9 @@
         write_refusal(&stream, &refusal);
         // A client that has read the response closes the connection. One that is closed while bytes of
         // the client are unread is reset, and the response may be lost.
-        let _ = tokio::time::timeout(REFUSAL_LINGER, serving).await;
+        let is_crowded = connection.intake.table.borrow().is_crowded();
+        let linger = if is_crowded { Duration::ZERO } else { REFUSAL_LINGER };
+        let _ = tokio::time::timeout(linger, serving).await;
     }
     Ok(())
 }
