Count the queue of chunks with the room of a request

What callers saw: requests whose bodies came in chunks of one byte, and did not end, took a multiple of what the gateway counted for them, so that nothing but their number bounded the memory.

Cause: the server queues each chunk, 32 bytes an entry, before the gateway takes the first; the queue keeps its room until the request ends. The budget counted the bytes of the body.

Evidence: on 300 requests of 2,500 chunks took a gateway from 12 to 43 MB; many_bodies_come_in_chunks_of_one_byte, 1,500 of them, failed there (an ordinary request beside them got 2013).

Change: the longest run of chunks that was taken at once counts with the room of the queue. Why it works: the queue never held more than the gateway takes at once, and grows by doubling.

--- a/components/intake/src/body.rs
+++ b/components/intake/src/body.rs
@@ -1,9 +1,13 @@
 //! Reads the bodies of requests.
 
+use std::task::{Context, Poll};
+
 use bytes::{Bytes, BytesMut};
 use errors::{Refusal, ResultCode};
 use futures_util::future::poll_fn;
+use ntex::http::error::PayloadError;
 use ntex::http::{Payload, Request};
+use ntex::util::Bytes as ChunkBytes;
 
 use crate::byte_budget::UpstreamKey;
 use crate::connection::Connection;
@@ -41,7 +45,8 @@
     limit_bytes: usize,
 ) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = poll_fn(|cx| payload.poll_recv(cx)).await {
+    let mut queue = ChunkQueue::default();
+    while let Some(chunk) = poll_fn(|cx| queue.poll_next(&mut payload, cx)).await {
         let chunk = chunk.map_err(|error| {
             Refusal::not_run(ResultCode::MalformedRequest).with_message(error.to_string())
         })?;
@@ -49,8 +54,35 @@
             return Err(Refusal::not_run(ResultCode::BodyTooLarge));
         }
         body.reserve(chunk.len());
-        connection.hold_body(body.capacity()).map_err(|_| no_room())?;
+        connection.hold_body(body.capacity() + queue.memory_bytes()).map_err(|_| no_room())?;
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
 }
+
+/// Queue in which the server keeps the chunks that it has read. It keeps its room until the request ends.
+#[derive(Debug, Default)]
+struct ChunkQueue {
+    /// Chunks that have been taken without waiting for further ones.
+    taken: usize,
+    /// Most chunks that have been in the queue.
+    longest: usize,
+}
+
+impl ChunkQueue {
+    fn poll_next(
+        &mut self,
+        payload: &mut Payload,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<ChunkBytes, PayloadError>>> {
+        let next = payload.poll_recv(cx);
+        self.taken = if next.is_pending() { 0 } else { self.taken + 1 };
+        self.longest = self.longest.max(self.taken);
+        next
+    }
+
+    /// The queue grows by doubling.
+    fn memory_bytes(&self) -> usize {
+        self.longest.next_power_of_two() * size_of::<ChunkBytes>()
+    }
+}
