Refuse a request whose line between two chunks does not end

What callers saw: one client that sent a chunk extension without an end made a gateway's memory grow for as long as it sent, and kept it busy.

Cause: the server waits for the end of the line, and asks for more each time, although it pauses reading at 16 KB otherwise; it scans the line from its start with each part.

Evidence: chunk_extensions_go_on failed on: ten such clients took 67.6 MB within the 3 s for which they send, where the process has 64.

Change: the filter below the server counts what the server has not read of a body as held, and refuses the request beyond 64 KiB (400). Why it works: the server takes any part of a chunk, and pauses reading beyond 16 KB of them, so that only such a line leaves more unread.

--- a/components/intake/src/connection.rs
+++ b/components/intake/src/connection.rs
@@ -16,6 +16,10 @@
 use crate::refusal::no_room;
 use crate::request_head::{HeadStep, RequestHead};
 
+/// Most bytes of a body of which the HTTP server makes nothing, such as a line between two chunks. It has
+/// fewer than this if they are parts of chunks, as it pauses reading until they are taken.
+const MAX_UNDECODED_BYTES: usize = 64 << 10;
+
 /// Connection of a client; leaves its intake when dropped.
 pub struct Connection<K: UpstreamKey> {
     id: ConnectionId,
@@ -26,6 +30,8 @@
     head: Cell<RequestHead>,
     /// Memory of the body that is being received, as far as it has been read.
     body_bytes: Cell<usize>,
+    /// Bytes that the HTTP server has, and of which it has read no part of a body yet.
+    undecoded_bytes: Cell<usize>,
     /// Room for the request that is being received.
     held: RefCell<Option<HeldBytes<K>>>,
     /// Why the connection takes no more requests, and what its client is told.
@@ -58,6 +64,7 @@
             intake,
             head: Cell::default(),
             body_bytes: Cell::default(),
+            undecoded_bytes: Cell::default(),
             held: RefCell::default(),
             refusal: RefCell::default(),
             closing: Cell::new(false),
@@ -97,12 +104,31 @@
         let now = self.intake.clock.now();
         self.intake.table.borrow_mut().record_progress(self.id, now);
         self.body_bytes.set(body_bytes);
+        self.undecoded_bytes.set(0);
         self.hold_received()
     }
 
     fn hold_received(&self) -> Result<(), BudgetExceeded> {
         let head_bytes = self.head.get().parsed_memory_bytes();
-        self.hold(head_bytes + self.body_bytes.get())
+        self.hold(head_bytes + self.body_bytes.get() + self.undecoded_bytes.get())
+    }
+
+    /// Passes on bytes of a body, unless the server can make nothing of those that it has.
+    fn receive_body(&self, bytes: &[u8], undecoded_bytes: usize) -> Received {
+        if !self.in_request.get() {
+            return Received::PassOn(bytes.len());
+        }
+        if undecoded_bytes > MAX_UNDECODED_BYTES {
+            let reason = "a line between two chunks is too long";
+            self.refuse(Refusal::not_run(ResultCode::MalformedRequest).with_message(reason));
+            return Received::Drop;
+        }
+        self.undecoded_bytes.set(undecoded_bytes);
+        if self.hold_received().is_err() {
+            self.refuse(no_room());
+            return Received::Drop;
+        }
+        Received::PassOn(bytes.len())
     }
 
     /// A small request takes the room of requests that wait for their clients, if there is no other.
@@ -155,6 +181,7 @@
         self.in_request.set(false);
         self.head.set(RequestHead::default());
         self.body_bytes.set(0);
+        self.undecoded_bytes.set(0);
         self.held.replace(None);
         self.set_phase(ConnectionPhase::Idle);
         let io = self.io.borrow().clone();
@@ -250,11 +277,10 @@
 }
 
 impl<K: UpstreamKey> HeadReceiver for Connection<K> {
-    fn receive(&self, bytes: &[u8]) -> Received {
+    fn receive(&self, bytes: &[u8], unread_bytes: usize) -> Received {
         match self.phase() {
-            ConnectionPhase::Body | ConnectionPhase::Response => {
-                return Received::PassOn(bytes.len());
-            }
+            ConnectionPhase::Body => return self.receive_body(bytes, unread_bytes),
+            ConnectionPhase::Response => return Received::PassOn(bytes.len()),
             ConnectionPhase::Closing => return Received::Drop,
             ConnectionPhase::Idle => self.set_phase(ConnectionPhase::Head),
             ConnectionPhase::Head => {}
--- a/components/intake/src/head_filter.rs
+++ b/components/intake/src/head_filter.rs
@@ -25,8 +25,9 @@
 
 /// Decides what becomes of the bytes of a connection.
 pub(crate) trait HeadReceiver {
-    /// Takes in bytes that have not been passed on: those that were kept, and new ones.
-    fn receive(&self, bytes: &[u8]) -> Received;
+    /// Takes in bytes that have not been passed on: those that were kept, and new ones. The server has
+    /// not read `unread_bytes` of those that were passed on earlier.
+    fn receive(&self, bytes: &[u8], unread_bytes: usize) -> Received;
 }
 
 /// Passes received bytes from the source to the destination, as far as they may be read. Returns the
@@ -38,7 +39,7 @@
 ) -> usize {
     let Some(received) = source else { return 0 };
     while !received.is_empty() {
-        match receiver.receive(received) {
+        match receiver.receive(received, destination.len()) {
             Received::Keep => return 0,
             Received::PassOn(length) if length == received.len() && destination.is_empty() => {
                 std::mem::swap(received, destination);
