Answer requests that offer another protocol

What callers saw: a single request within all limits got no answer if it had a header Upgrade, such as some clients send by default.

Cause: for ntex the body of such a request ends with its connection, and the gateway read it to its end first.

Evidence: offers_of_other_protocols_are_ignored failed on: no answer in 120 s.

Change: the body of such a request is as long as Content-Length says, or empty. Why it works: HTTP/1.1 gives a request without a length or chunks an empty body, and a server may ignore the offer.

Measured: the test passes for h2c and websocket, with and without a body.

--- a/components/intake/src/body.rs
+++ b/components/intake/src/body.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use errors::{Refusal, ResultCode};
 use futures_util::future::poll_fn;
+use http::header;
 use ntex::http::error::PayloadError;
 use ntex::http::{Payload, Request};
 use ntex::util::Bytes as ChunkBytes;
@@ -16,12 +17,16 @@
 /// Body of a request, which has not been read yet.
 pub struct IncomingBody {
     payload: Payload,
+    /// Length that the server does not know: it reads a request that offers another protocol to the end
+    /// of its connection.
+    length: Option<usize>,
 }
 
 impl IncomingBody {
-    /// Takes the body out of a request.
+    /// Takes the body out of a request, which still has its headers.
     pub fn take(request: &mut Request) -> IncomingBody {
-        IncomingBody { payload: request.take_payload() }
+        let length = request.head().upgrade().then(|| stated_length(request));
+        IncomingBody { payload: request.take_payload(), length }
     }
 
     /// Reads the body. Refuses one that is larger than the limit, that is malformed or too slow, or for
@@ -32,24 +37,36 @@
         limit_bytes: usize,
     ) -> Result<Bytes, Refusal> {
         tokio::select! {
-            body = read_payload(connection, self.payload, limit_bytes) => body,
+            body = read_payload(connection, self.payload, self.length, limit_bytes) => body,
             refusal = connection.refused() => Err(refusal),
         }
     }
 }
 
-/// Reads a body to its end.
+/// Length of a body that comes without chunks.
+fn stated_length(request: &Request) -> usize {
+    let given = request.headers().get(header::CONTENT_LENGTH);
+    let given = given.and_then(|value| value.to_str().ok());
+    given.and_then(|given| given.trim().parse().ok()).unwrap_or(0)
+}
+
+/// Reads a body to its end, or to its length if the server does not know it.
 async fn read_payload<K: UpstreamKey>(
     connection: &Connection<K>,
     mut payload: Payload,
+    length: Option<usize>,
     limit_bytes: usize,
 ) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
     let mut queue = ChunkQueue::default();
-    while let Some(chunk) = poll_fn(|cx| queue.poll_next(&mut payload, cx)).await {
-        let chunk = chunk.map_err(|error| {
+    while length.is_none_or(|length| body.len() < length) {
+        let Some(chunk) = poll_fn(|cx| queue.poll_next(&mut payload, cx)).await else { break };
+        let mut chunk = chunk.map_err(|error| {
             Refusal::not_run(ResultCode::MalformedRequest).with_message(error.to_string())
         })?;
+        if let Some(length) = length {
+            chunk.truncate(length - body.len());
+        }
         if body.len() + chunk.len() > limit_bytes {
             return Err(Refusal::not_run(ResultCode::BodyTooLarge));
         }
