Say in each refusal of an unreadable request that it has not run

What callers saw: 400 and 431 with an empty body for requests that the HTTP server could not read, where all other refusals have a result code and an outcome.

Cause: the server answered them by itself.

Change: the server's errors in reading are answered with result code 1009 (malformed_request), outcome not_run, and the connection closes. Why it works: a request that could not be read has not been passed on. Heads that are too large are refused below the server already.

--- a/components/intake/src/server.rs
+++ b/components/intake/src/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, anyhow};
-use errors::Refusal;
+use errors::{Refusal, ResultCode};
 use log::info;
 use ntex::SharedCfg;
 use ntex::http::body::Body;
@@ -22,7 +22,7 @@
 use crate::byte_budget::UpstreamKey;
 use crate::connection::Connection;
 use crate::head_filter::HeadFilter;
-use crate::refusal::write_refusal;
+use crate::refusal::{build_refusal, write_refusal};
 
 /// Time for which a refused client may read its response before its connection is closed.
 const REFUSAL_LINGER: Duration = Duration::from_millis(500);
@@ -108,17 +108,22 @@
     info!("request.refused code={} reason={:?}", refusal.code.number(), refusal.message);
 }
 
-/// Closes the connection if a response broke off; the server would write an error response into it
-/// otherwise.
+/// Answers a request that cannot be read like any other refusal: it has not run. Closes the connection
+/// if a response broke off; the server would write an error response into it otherwise.
 async fn control_connection<F: Filter>(
     control: Control<F, HttpError>,
 ) -> Result<ControlAck<F>, ResponseBroken> {
-    match &control {
-        Control::Disconnect(Reason::ProtocolError(error))
-            if matches!(error.err(), ProtocolError::ResponsePayload(_)) =>
-        {
-            Err(ResponseBroken)
+    let error = match control {
+        Control::Disconnect(Reason::ProtocolError(error)) => error,
+        other => return Ok(other.ack()),
+    };
+    let refusal = match error.err() {
+        ProtocolError::ResponsePayload(_) => return Err(ResponseBroken),
+        ProtocolError::Decode(reason) => {
+            Refusal::not_run(ResultCode::MalformedRequest).with_message(reason.to_string())
         }
-        _ => Ok(control.ack()),
-    }
+        _ => return Ok(error.ack()),
+    };
+    log_refusal(&refusal);
+    Ok(error.fail_with(build_refusal(&refusal, true)))
 }
