Limit the ports for readiness checks, metrics and other gateways

What callers saw: clients at the readiness or the internal port could exhaust a gateway's memory and descriptors like those at the callers' port.

Cause: both ports used the HTTP server with its defaults: heads were parsed as they arrived, and connections were not counted.

Why it works: the same code counts what arrives, and keeps or closes connections.

--- a/components/gateway/src/runtime/internal_server.rs
+++ b/components/gateway/src/runtime/internal_server.rs
@@ -4,19 +4,22 @@
 use tokio::net::TcpListener;
 
 use super::peer_reads;
-use super::readiness::serve_sync;
+use super::small_server;
 use super::state::{Shared, SharedRef};
 
 /// Serves what other gateways of the zone ask for, and the metrics on any other path.
 pub(super) async fn serve(shared: SharedRef, listener: TcpListener) {
-    serve_sync(listener, move |request: Request| {
-        if request.path() == peer_reads::PATH {
-            shared.answer_peer_read(request.uri().query().unwrap_or_default())
-        } else {
-            shared.answer_metrics()
+    let answer = {
+        let shared = shared.clone();
+        move |request: Request| {
+            if request.path() == peer_reads::PATH {
+                shared.answer_peer_read(request.uri().query().unwrap_or_default())
+            } else {
+                shared.answer_metrics()
+            }
         }
-    })
-    .await;
+    };
+    small_server::serve(shared, listener, |limits| limits.internal, answer).await;
 }
 
 impl Shared {
--- a/components/gateway/src/runtime/mod.rs
+++ b/components/gateway/src/runtime/mod.rs
@@ -22,6 +22,7 @@
 mod response;
 mod slot_guard;
 mod slots;
+mod small_server;
 mod state;
 mod stream_versions;
 mod upstream_limits;
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -10,6 +10,12 @@
 /// Share of the descriptors for callers' connections.
 const CALLER_SHARE: f64 = 0.7;
 
+/// Share of the descriptors for connections of readiness checks.
+const READINESS_SHARE: f64 = 0.05;
+
+/// Share of the descriptors for connections of other gateways and of readers of the metrics.
+const INTERNAL_SHARE: f64 = 0.1;
+
 /// Settings of a gateway. Listen addresses take effect at start only.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -45,6 +51,10 @@
 pub struct ConnectionLimits {
     /// Connections of callers.
     pub callers: usize,
+    /// Connections of readiness checks.
+    pub readiness: usize,
+    /// Connections of other gateways and of readers of the metrics.
+    pub internal: usize,
 }
 
 impl ConnectionLimits {
@@ -52,6 +62,10 @@
     /// connections to upstreams, to the store and to other gateways.
     pub fn share_out(descriptors: usize) -> ConnectionLimits {
         let share = |part: f64| ((descriptors as f64 * part) as usize).max(1);
-        ConnectionLimits { callers: share(CALLER_SHARE) }
+        ConnectionLimits {
+            callers: share(CALLER_SHARE),
+            readiness: share(READINESS_SHARE),
+            internal: share(INTERNAL_SHARE),
+        }
     }
 }
