Limit what all callers of an entry hold

What callers saw: clients that do not behave could exhaust the memory and the descriptors of an entry process as they could a gateway's.

Cause: web::Server used ntex with its defaults: heads were parsed as they arrived, bodies were limited one by one, connections not at all.

Change: web::Server serves connections through intake, like the gateway, with new settings callers.connections and callers.held_mib. The loop that accepts is the same one for all listeners now. A graceful stop closes connections without a request at once and waits for the others.

Why it works: the same code counts what arrives, and keeps or closes connections; a worker accepts the next connection when the one that was displaced has closed.

--- a/components/agent/tests/orders.rs
+++ b/components/agent/tests/orders.rs
@@ -8,7 +8,7 @@
 use clock::SystemClock;
 use errors::{Refusal, ResultCode};
 use identity::{FencingToken, HostId, ModelId, ProcessId, UpstreamId, ZoneId};
-use web::{Handler, Request, Response, Server, ServerHandle};
+use web::{Handler, Request, Response, Server, ServerHandle, ServerLimits};
 use wire::v1::agent_client::AgentClient;
 use wire::{Command, Order, v1};
 
@@ -31,9 +31,14 @@
 }
 
 async fn spawn_agent(engine: Arc<RecordingEngine>) -> (ServerHandle, AgentHandle) {
-    let server = Server { address: (LOOPBACK, 0).into(), workers: 1, body_limit_bytes: 1 << 16 }
-        .bind(engine)
-        .expect("bind");
+    let server = Server {
+        address: (LOOPBACK, 0).into(),
+        workers: 1,
+        body_limit_bytes: 1 << 16,
+        limits: ServerLimits::default(),
+    }
+    .bind(engine)
+    .expect("bind");
     let settings = agent::Settings {
         listen: (LOOPBACK, 0).into(),
         host: HostId::new("fast"),
--- a/components/entry/examples/claim_cost.rs
+++ b/components/entry/examples/claim_cost.rs
@@ -20,7 +20,7 @@
 use store::{HttpStore, KeyValueStore, Revision, SwapResult};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
-use web::{Client, Handler, Request, Server, ServerHandle};
+use web::{Client, Handler, Request, Server, ServerHandle, ServerLimits};
 
 const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -47,7 +47,8 @@
 
 fn serve(handler: Arc<dyn Handler>) -> Result<ServerHandle> {
     let address = (LOOPBACK, 0).into();
-    Server { address, workers: 1, body_limit_bytes: 1 << 20 }.bind(handler)
+    Server { address, workers: 1, body_limit_bytes: 1 << 20, limits: ServerLimits::default() }
+        .bind(handler)
 }
 
 fn main() -> Result<()> {
@@ -91,6 +92,7 @@
             store: store_server.address(),
             host_list: hosts.address(),
         },
+        callers: entry::CallerSettings::default(),
         workers: 1,
         peers: entry::PeerSettings::default(),
         log_level: "off".to_owned(),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,4 +11,4 @@
 mod settings;
 
 pub use runtime::{Entry, EntryHandle};
-pub use settings::{PeerSettings, PlatformSettings, Settings};
+pub use settings::{CallerSettings, PeerSettings, PlatformSettings, Settings};
--- a/components/entry/src/runtime/mod.rs
+++ b/components/entry/src/runtime/mod.rs
@@ -31,7 +31,7 @@
 use peers::{PeerSync, PeerSyncHandle};
 use store::{HostList, HttpHostList, HttpStore, KeyValueStore};
 use tokio::task::JoinHandle;
-use web::{Client, Server, ServerHandle};
+use web::{Client, Server, ServerHandle, ServerLimits};
 
 use crate::controllers::configuration::PendingAudit;
 use crate::controllers::membership::{self, AvailabilityState};
@@ -44,6 +44,9 @@
 /// afterwards, by the filters.
 const BODY_READ_LIMIT_BYTES: usize = 8 << 20;
 
+/// Limits of the operators' listener.
+const OPERATOR_LIMITS: ServerLimits = ServerLimits { connections: 64, held_bytes: 32 << 20 };
+
 /// Interval at which a draining process checks whether requests are still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -128,6 +131,7 @@
             address: shared.settings.listen,
             workers: shared.settings.workers as usize,
             body_limit_bytes: BODY_READ_LIMIT_BYTES,
+            limits: shared.settings.callers.server_limits(),
         }
         .bind(Arc::new(callers::CallerHandler::new(shared.clone(), runtime.clone())))
         .context("listen")?;
@@ -135,6 +139,7 @@
             address: shared.settings.operators_listen,
             workers: 1,
             body_limit_bytes: BODY_READ_LIMIT_BYTES,
+            limits: OPERATOR_LIMITS,
         }
         .bind(Arc::new(operators::OperatorHandler::new(shared.clone(), runtime)))
         .context("operators_listen")?;
--- a/components/entry/tests/booking.rs
+++ b/components/entry/tests/booking.rs
@@ -15,7 +15,7 @@
 use standin::service::Service;
 use standin::store::{Store, StoreFaults};
 use store::HttpStore;
-use web::{Client, Handler, Request, Server, ServerHandle};
+use web::{Client, Handler, Request, Server, ServerHandle, ServerLimits};
 
 const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
@@ -57,7 +57,9 @@
 
 fn spawn_server(handler: Arc<dyn Handler>) -> ServerHandle {
     let address = (LOOPBACK, 0).into();
-    Server { address, workers: 1, body_limit_bytes: 1 << 20 }.bind(handler).expect("bind")
+    Server { address, workers: 1, body_limit_bytes: 1 << 20, limits: ServerLimits::default() }
+        .bind(handler)
+        .expect("bind")
 }
 
 async fn spawn_agent(service: SocketAddr) -> AgentHandle {
@@ -81,6 +83,7 @@
         host: HostId::new("entry"),
         zone: ZoneId::new("riga-a"),
         platform,
+        callers: entry::CallerSettings::default(),
         workers: 1,
         peers: entry::PeerSettings::default(),
         log_level: "off".to_owned(),
--- a/components/gateway/src/runtime/callers.rs
+++ b/components/gateway/src/runtime/callers.rs
@@ -25,9 +25,6 @@
 /// Interval between keepalive probes of a silent caller.
 const CALLER_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Pause after a failure to accept a connection.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
 /// Guard of a request whose response has not been completely passed to the server.
 pub(super) struct OpenRequest {
     shared: SharedRef,
@@ -50,29 +47,15 @@
 /// Accepts callers' connections until the process ends.
 pub(super) async fn serve(shared: SharedRef, listener: TcpListener) {
     let configuration = intake::configure_server("callers");
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let Some(connection) = shared.intake.open() else { continue };
-                let served = serve_connection(
-                    shared.clone(),
-                    configuration.clone(),
-                    connection.clone(),
-                    stream,
-                );
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = served.await {
-                        warn!("caller.connection error={error:#}");
-                    }
-                });
-                connection.wait_for_displaced().await;
-            }
-            Err(error) => {
-                warn!("caller.accept error={error}");
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+    intake::accept_connections(&shared.intake, &listener, |connection, stream| {
+        let served = serve_connection(shared.clone(), configuration.clone(), connection, stream);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = served.await {
+                warn!("caller.connection error={error:#}");
             }
-        }
-    }
+        });
+    })
+    .await;
 }
 
 async fn serve_connection(
--- a/components/gateway/src/runtime/small_server.rs
+++ b/components/gateway/src/runtime/small_server.rs
@@ -47,38 +47,22 @@
     let budget = ByteBudget::<()>::new(HELD_LIMIT_BYTES);
     let intake = Intake::new(limits(), budget, shared.clock.clone());
     let configuration = intake::configure_server("small");
-    let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = expiry.tick() => {
-                intake.set_limits(limits());
-                intake.close_expired();
-                continue;
-            }
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let Some(connection) = intake.open() else { continue };
-                let served = serve_connection(
-                    connection.clone(),
-                    stream,
-                    configuration.clone(),
-                    handler.clone(),
-                );
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = served.await {
-                        warn!("internal_server.connection error={error:#}");
-                    }
-                });
-                connection.wait_for_displaced().await;
-            }
-            Err(error) => {
-                warn!("internal_server.accept error={error}");
-                tokio::time::sleep(super::STOP_POLL_INTERVAL).await;
+    let accepting = intake::accept_connections(&intake, &listener, |connection, stream| {
+        let served = serve_connection(connection, stream, configuration.clone(), handler.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(error) = served.await {
+                warn!("internal_server.connection error={error:#}");
             }
+        });
+    });
+    let expiring = async {
+        loop {
+            tokio::time::sleep(EXPIRY_INTERVAL).await;
+            intake.set_limits(limits());
+            intake.close_expired();
         }
-    }
+    };
+    tokio::join!(accepting, expiring);
 }
 
 async fn serve_connection(
--- a/components/intake/src/connection.rs
+++ b/components/intake/src/connection.rs
@@ -75,9 +75,8 @@
         }
     }
 
-    /// Waits until the connection has ended that was closed for this one, so that a crowd of new ones does
-    /// not outrun the closing.
-    pub async fn wait_for_displaced(&self) {
+    /// Waits until the connection has ended that was closed for this one.
+    pub(crate) async fn wait_for_displaced(&self) {
         if let Some(displaced) = self.displaced {
             self.intake.wait_for_end(displaced).await;
         }
--- a/components/intake/src/lib.rs
+++ b/components/intake/src/lib.rs
@@ -5,6 +5,7 @@
 //! and the current time and return decisions. `connection`, `head_filter` and `server` carry the decisions
 //! out below and beside the HTTP server of ntex, on one thread.
 
+mod accept;
 mod body;
 pub mod byte_budget;
 mod connection;
@@ -15,6 +16,7 @@
 pub mod request_head;
 mod server;
 
+pub use accept::accept_connections;
 pub use body::IncomingBody;
 pub use connection::{Connection, RequestGuard};
 pub use intake::{Intake, IntakeLimits};
--- a/components/scenario/src/fleet/start.rs
+++ b/components/scenario/src/fleet/start.rs
@@ -136,6 +136,7 @@
             let settings = json!({ "listen": format!("{}:0", self.listen_ip),
                 "operators_listen": format!("{}:0", self.listen_ip),
                 "host": name, "zone": zone, "platform": platform,
+                "callers": self.plan.caller_limits,
                 "peers": { "listen": self.peer_addresses.get(&name),
                     "listed": self.listed_peers() } });
             let program = self.program_paths.entry.clone();
--- a/components/scenario/src/plan.rs
+++ b/components/scenario/src/plan.rs
@@ -33,6 +33,8 @@
     pub host_list_lag_ms: u64,
     /// Rate limit of each customer, in requests per second.
     pub requests_per_s: u32,
+    /// Limits on what the callers of an entry process may hold, as in its settings.
+    pub caller_limits: BTreeMap<String, u32>,
 }
 
 /// Settings of a stand-in engine and its agent.
@@ -82,6 +84,7 @@
             services: BTreeMap::from([("desk".to_owned(), ServicePlan::default())]),
             host_list_lag_ms: 0,
             requests_per_s: 1_000,
+            caller_limits: BTreeMap::new(),
         }
     }
 }
--- a/components/standin/tests/engine.rs
+++ b/components/standin/tests/engine.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use standin::engine::{Engine, EngineSettings, WeightSource, expected_text};
 use standin::weights::WeightStore;
-use web::{Body, Handler, Request, Response, Server};
+use web::{Body, Handler, Request, Response, Server, ServerLimits};
 
 /// Builds a prompt of `blocks` cache blocks (64 tokens of 4 bytes each), followed by `suffix`.
 fn build_prompt(blocks: usize, suffix: &str) -> String {
@@ -146,7 +146,8 @@
 async fn model_is_served_only_after_its_weights_are_loaded() {
     let weights = WeightStore::new(Arc::new(SystemClock), 100_000_000);
     let address = ([127, 0, 0, 1], 0).into();
-    let store = Server { address, workers: 1, body_limit_bytes: 1024 };
+    let store =
+        Server { address, workers: 1, body_limit_bytes: 1024, limits: ServerLimits::default() };
     let store = store.bind(Arc::new(weights)).expect("weight store");
     let source = WeightSource { address: store.address(), size_bytes: 1_000_000 };
     let engine = new_engine(EngineSettings {
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use client::{Client, ClientError, ClientResponse};
 pub use message::{Body, BodySender, Headers, Request, Response};
-pub use server::{Handler, Server, ServerHandle};
+pub use server::{Handler, Server, ServerHandle, ServerLimits};
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -15,7 +15,7 @@
 use standin::hosts::HostListService;
 use standin::service::Service;
 use standin::store::Store;
-use web::{Client, Handler, Request, Server, ServerHandle};
+use web::{Client, Handler, Request, Server, ServerHandle, ServerLimits};
 
 use super::{build_runtime, init_logging, wait_for_shutdown_signal};
 
@@ -80,6 +80,7 @@
             listen: Some((LOOPBACK, 0).into()),
             ..entry::PeerSettings::default()
         },
+        callers: entry::CallerSettings::default(),
         workers: 2,
         log_level: "warn".to_owned(),
     };
@@ -110,7 +111,13 @@
 
 fn spawn_server(handler: Arc<dyn Handler>) -> Result<ServerHandle> {
     let address = (LOOPBACK, 0).into();
-    Server { address, workers: 1, body_limit_bytes: BODY_LIMIT_BYTES }.bind(handler)
+    Server {
+        address,
+        workers: 1,
+        body_limit_bytes: BODY_LIMIT_BYTES,
+        limits: ServerLimits::default(),
+    }
+    .bind(handler)
 }
 
 fn build_engine(
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -12,7 +12,7 @@
 use standin::service::Service;
 use standin::store::Store;
 use standin::weights::WeightStore;
-use web::{Handler, Server};
+use web::{Handler, Server, ServerLimits};
 
 use super::{build_runtime, wait_for_shutdown_signal};
 
@@ -51,8 +51,13 @@
         arguments.opt_value_from_str("--listen")?.unwrap_or(([127, 0, 0, 1], 0).into());
     let handler = build_handler(&kind, &mut arguments)?;
     build_runtime()?.block_on(async {
-        let server =
-            Server { address, workers: 2, body_limit_bytes: BODY_LIMIT_BYTES }.bind(handler)?;
+        let server = Server {
+            address,
+            workers: 2,
+            body_limit_bytes: BODY_LIMIT_BYTES,
+            limits: ServerLimits::default(),
+        }
+        .bind(handler)?;
         println!("ready {}", server.address());
         wait_for_shutdown_signal().await?;
         let stopped = tokio::task::spawn_blocking(move || server.stop(false));
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -17,7 +17,7 @@
 use standin::store::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use web::{Client, ClientResponse, Handler, Request, Server, ServerHandle};
+use web::{Client, ClientResponse, Handler, Request, Server, ServerHandle, ServerLimits};
 
 const ZONE: &str = "riga-a";
 const MODEL: &str = "listing-7b";
@@ -31,7 +31,14 @@
 }
 
 pub fn spawn_server(handler: Arc<dyn Handler>) -> ServerHandle {
-    Server { address: loopback(), workers: 1, body_limit_bytes: 8 << 20 }.bind(handler).unwrap()
+    Server {
+        address: loopback(),
+        workers: 1,
+        body_limit_bytes: 8 << 20,
+        limits: ServerLimits::default(),
+    }
+    .bind(handler)
+    .unwrap()
 }
 
 /// A stand-in engine and its HTTP server.
@@ -109,6 +116,7 @@
             host: HostId::new("entry"),
             zone: ZoneId::new(ZONE),
             platform: PlatformSettings::Http { store, host_list },
+            callers: entry::CallerSettings::default(),
             workers: 1,
             peers: entry::PeerSettings::default(),
             log_level: "warn".to_owned(),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -44,6 +44,7 @@
             "platform.http.store: given \"riga:1\", allowed an IP address",
         ),
         (entry, "entry-range.json", "workers: given 0, allowed 1 to 256"),
+        (entry, "entry-callers.json", "callers.connections: given 0, allowed 1 to 1048576"),
         (entry, "entry-level.json", "log_level: given \"loud\", allowed off, error, warn"),
         (entry, "entry-unknown.json", "unknown field `wokers`, expected one of `listen`"),
         (entry, "entry-missing.json", "missing field `zone`"),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use standin::hosts::HostListService;
 use standin::service::Service;
 use standin::store::{Store, StoreFaults};
-use web::{Client, Handler, Request, Server, ServerHandle};
+use web::{Client, Handler, Request, Server, ServerHandle, ServerLimits};
 
 /// Bearer key of the customer `seller`.
 const SELLER_KEY: &str = "seller-demo-key";
@@ -35,7 +35,12 @@
 }
 
 fn spawn_server(handler: Arc<dyn Handler>) -> ServerHandle {
-    let server = Server { address: (LOOPBACK, 0).into(), workers: 1, body_limit_bytes: 8 << 20 };
+    let server = Server {
+        address: (LOOPBACK, 0).into(),
+        workers: 1,
+        body_limit_bytes: 8 << 20,
+        limits: ServerLimits::default(),
+    };
     server.bind(handler).expect("binding the server")
 }
 
@@ -67,6 +72,7 @@
                 host_list: self.hosts_server.address(),
             },
             peers: PeerSettings { listen: Some((LOOPBACK, 0).into()), listed },
+            callers: entry::CallerSettings::default(),
             workers: 1,
             log_level: "off".to_owned(),
         };
