--- a/components/gateway/src/runtime/callers.rs
+++ b/components/gateway/src/runtime/callers.rs
@@ -1,10 +1,14 @@
 //! Callers' connections and the requests on them.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use intake::{Connection, RequestGuard, build_refusal};
+use clock::Clock;
+use intake::byte_budget::ByteBudget;
+use intake::connection_table::WaitLimits;
+use intake::{Connection, Intake, IntakeLimits, RequestGuard, build_refusal};
 use log::{info, warn};
 use ntex::SharedCfg;
 use ntex::http::body::Body;
@@ -15,9 +19,10 @@
 use super::dispatch::DispatchProgress;
 use super::log_fields::or_none;
 use super::response::build_response;
-use super::state::SharedRef;
+use super::state::{Shared, SharedRef};
 use super::{caller_request, dispatch};
-use crate::model::UpstreamId;
+use crate::Settings;
+use crate::model::{CallerLimits, UpstreamId};
 
 /// Time after which unacknowledged bytes or unanswered keepalive probes end a caller's connection.
 const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -25,6 +30,10 @@
 /// Interval between keepalive probes of a silent caller.
 const CALLER_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Idle time after which a connection is closed during a planned stop: the last response must have
+/// been sent by then.
+const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Guard of a request whose response has not been completely passed to the server.
 pub(super) struct OpenRequest {
     shared: SharedRef,
@@ -73,6 +82,47 @@
     intake::serve_connection(connection, io, configuration, handler).await
 }
 
+/// Creates the intake of callers' connections, with the limits until the first configuration is received.
+pub(super) fn open_intake(
+    settings: &Settings,
+    byte_budget: Rc<ByteBudget<UpstreamId>>,
+    clock: Arc<dyn Clock>,
+) -> Rc<Intake<UpstreamId>> {
+    Intake::new(intake_limits(settings, CallerLimits::default()), byte_budget, clock)
+}
+
+/// Limits on callers' connections, in the form of their intake.
+fn intake_limits(settings: &Settings, limits: CallerLimits) -> IntakeLimits {
+    IntakeLimits {
+        connections: settings.connection_limits.callers,
+        header_bytes: limits.header_bytes,
+        waits: WaitLimits {
+            idle: limits.idle_timeout,
+            head: limits.header_timeout,
+            body: limits.idle_timeout,
+        },
+    }
+}
+
+impl Shared {
+    /// Closes the connections whose callers have taken too long.
+    pub(super) fn close_expired_callers(&self) {
+        self.intake.set_limits(self.intake_limits());
+        self.intake.close_expired();
+    }
+
+    /// Limits on callers' connections: those of the configuration, and shorter ones at the end of a
+    /// planned stop.
+    fn intake_limits(&self) -> IntakeLimits {
+        let mut limits = intake_limits(&self.settings.borrow(), self.caller_limits());
+        if self.closing_idle_callers.get() {
+            limits.waits.idle = limits.waits.idle.min(STOP_IDLE_TIMEOUT);
+            limits.waits.head = limits.waits.head.min(STOP_IDLE_TIMEOUT);
+        }
+        limits
+    }
+}
+
 fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let probes =
--- a/components/gateway/src/runtime/state.rs
+++ b/components/gateway/src/runtime/state.rs
@@ -9,9 +9,8 @@
 use anyhow::Result;
 use bytes::Bytes;
 use clock::Clock;
+use intake::Intake;
 use intake::byte_budget::ByteBudget;
-use intake::connection_table::WaitLimits;
-use intake::{Intake, IntakeLimits};
 use link::{Pool, Timeouts};
 use log::info;
 use tokio::net::UdpSocket;
@@ -20,6 +19,7 @@
 
 use super::Gateway;
 use super::allowance::AwaitedCredit;
+use super::callers;
 use super::crash_checks::CrashChecks;
 use super::metrics::Metrics;
 use super::stream_versions::StreamVersions;
@@ -56,10 +56,6 @@
     keepalive_interval: Duration::from_millis(1_000),
 };
 
-/// Idle time after which a connection is closed during a planned stop: the last response must have
-/// been sent by then.
-const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The active configuration, indexed for the look-ups of requests.
 #[derive(Debug, Default)]
 pub(super) struct ActiveConfiguration {
@@ -77,19 +73,6 @@
     pub(super) stream_lifetime: Duration,
 }
 
-/// Limits on callers' connections, in the form of their intake.
-fn intake_limits(settings: &Settings, limits: CallerLimits) -> IntakeLimits {
-    IntakeLimits {
-        connections: settings.connection_limits.callers,
-        header_bytes: limits.header_bytes,
-        waits: WaitLimits {
-            idle: limits.idle_timeout,
-            head: limits.header_timeout,
-            body: limits.idle_timeout,
-        },
-    }
-}
-
 /// A slot request whose reply is awaited.
 pub(super) struct AwaitedReply {
     pub(super) broker: PeerId,
@@ -187,8 +170,7 @@
         // address therefore begin to number their requests at different values.
         let first_number = process_id as u32;
         let byte_budget = ByteBudget::new(settings.held_limit_bytes);
-        let limits = intake_limits(&settings, CallerLimits::default());
-        let intake = Intake::new(limits, byte_budget.clone(), clock.clone());
+        let intake = callers::open_intake(&settings, byte_budget.clone(), clock.clone());
         Ok(Shared {
             own_zone: settings.topology.own_zone.as_str().into(),
             socket,
@@ -255,17 +237,6 @@
             .map_or_else(CallerLimits::default, |configuration| configuration.limits)
     }
 
-    /// Limits on callers' connections: those of the configuration, and shorter ones at the end of a
-    /// planned stop.
-    fn intake_limits(&self) -> IntakeLimits {
-        let mut limits = intake_limits(&self.settings.borrow(), self.caller_limits());
-        if self.closing_idle_callers.get() {
-            limits.waits.idle = limits.waits.idle.min(STOP_IDLE_TIMEOUT);
-            limits.waits.head = limits.waits.head.min(STOP_IDLE_TIMEOUT);
-        }
-        limits
-    }
-
     /// Whether the store has confirmed the configuration recently enough to accept customers' keys.
     pub(super) fn accepts_keys(&self) -> bool {
         let validity = self.settings.borrow().key_validity;
@@ -390,8 +361,7 @@
             peers.expire_departed(now);
             self.peer_health.borrow_mut().retain(|id| peers.is_member(id));
         }
-        self.intake.set_limits(self.intake_limits());
-        self.intake.close_expired();
+        self.close_expired_callers();
         self.crash_quarantine.borrow_mut().expire(now);
         self.expire_upstream_notices(now);
         self.expire_streams(now);
