--- /dev/null
+++ b/review/standins-3/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-ins of the platform's store, and the gateway as a process, for the cases of this review.
+
+pub mod gateway;
+pub mod http;
+pub mod json;
+pub mod record;
+pub mod store;
+pub mod worker;
