--- a/review/standins-3/engines.rs
+++ b/review/standins-3/engines.rs
@@ -23,6 +23,11 @@
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(50);
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Events of a long answer, and the length of each: less than the longest ones of the users.
+pub const LONG_EVENTS: u32 = 500;
+const LONG_EVENT_BYTES: usize = 360;
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Key of the ordinary callers.
 pub const ORDINARY_KEY: &str = "i9n73hh2b9wu3fexd9dn";
 
@@ -72,15 +77,49 @@
     }
     running.fetch_add(1, Ordering::Relaxed);
     record.line(&format!("worker {instance} runs id={id} tokens={counts}"));
-    let written = write_stream(id, stream);
+    let written = if request.target().ends_with("/long") {
+        write_long_stream(id, time_limit(request), stream)
+    } else {
+        write_stream(id, stream)
+    };
     running.fetch_sub(1, Ordering::Relaxed);
+    record.line(&format!("worker {instance} has ended id={id}: {written:?}"));
     written.map(|()| true)
 }
 
-fn write_stream(id: &str, stream: &mut TcpStream) -> io::Result<()> {
-    let head = format!(
+fn time_limit(request: &Message) -> Duration {
+    let left_ms = request.header("deadline-ms").and_then(|left_ms| left_ms.parse().ok());
+    Duration::from_millis(left_ms.unwrap_or(12_000))
+}
+
+/// Writes a long answer, and stops work at the time limit, like an engine.
+fn write_long_stream(id: &str, limit: Duration, stream: &mut TcpStream) -> io::Result<()> {
+    let began_at = Instant::now();
+    let head = stream_head(id);
+    stream.write_all(head.as_bytes())?;
+    let data = "x".repeat(LONG_EVENT_BYTES);
+    for event in 1..=LONG_EVENTS {
+        let left = limit.saturating_sub(began_at.elapsed());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        stream.set_write_timeout(Some(left))?;
+        let text = format!("id: {event}\ndata: {data}\n\n");
+        stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+        thread::sleep(LONG_EVENT_INTERVAL);
+    }
+    stream.set_write_timeout(None)?;
+    stream.write_all(b"0\r\n\r\n")
+}
+
+fn stream_head(id: &str) -> String {
+    format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
+    )
+}
+
+fn write_stream(id: &str, stream: &mut TcpStream) -> io::Result<()> {
+    let head = stream_head(id);
     thread::sleep(FIRST_EVENT_AFTER);
     stream.write_all(head.as_bytes())?;
     for event in 1..=EVENTS {
@@ -128,9 +167,7 @@
 pub fn send(gateway: SocketAddr, id: &str, tokens: &str, key: &str) -> io::Result<(u16, u32)> {
     let mut stream = TcpStream::connect_timeout(&gateway, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(12)))?;
-    let request = format!(
-        "POST /answer/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Counts: {tokens}\r\nPrompt-Prefix: 5c1e07a2:60,{id}:940\r\nDeadline-Ms: 12000\r\nAuthorization: Bearer {key}\r\nContent-Length: 2\r\n\r\n{{}}"
-    );
+    let request = request_text("/answer/2f", id, tokens, key);
     stream.write_all(request.as_bytes())?;
     let mut reader = BufReader::new(stream);
     let head = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
@@ -144,3 +181,10 @@
     }
     Ok((head.status(), events))
 }
+
+/// A request of a client, with its body.
+pub fn request_text(target: &str, id: &str, tokens: &str, key: &str) -> String {
+    format!(
+        "POST {target} HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Counts: {tokens}\r\nPrompt-Prefix: 5c1e07a2:60,{id}:940\r\nDeadline-Ms: 12000\r\nAuthorization: Bearer {key}\r\nContent-Length: 2\r\n\r\n{{}}"
+    )
+}
--- a/review/standins-3/mod.rs
+++ b/review/standins-3/mod.rs
@@ -4,6 +4,7 @@
 pub mod gateway;
 pub mod http;
 pub mod json;
+pub mod link;
 pub mod record;
 pub mod store;
 pub mod worker;
