--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -18,8 +18,12 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Contents {
+    /// Number of times that the store has come back from an older copy.
+    era: u64,
+    /// Whether the store turns all calls away.
+    is_away: bool,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Changes in their order: revision, key, and the item unless it was removed.
@@ -27,6 +31,10 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
 }
 
+/// Copy of a store's contents.
+#[derive(Debug)]
+pub struct StoreCopy(Contents);
+
 /// A store that serves until the process ends.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -53,6 +61,27 @@
         self.contents.lock().unwrap().write(key, None);
     }
 
+    /// Copies the store.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.contents.lock().unwrap().clone())
+    }
+
+    /// Turns all calls away from now on.
+    pub fn leave(&self) {
+        self.contents.lock().unwrap().is_away = true;
+    }
+
+    /// Comes back from an older copy. What was written since is lost, and leases are as well.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut contents = self.contents.lock().unwrap();
+        let era = contents.era + 1;
+        *contents = Contents { era, leases: BTreeMap::new(), ..copy.0 };
+        let leased = contents.items.iter().filter(|(_, item)| item.lease != 0);
+        for key in leased.map(|(key, _)| key.clone()).collect::<Vec<String>>() {
+            contents.items.remove(&key);
+        }
+    }
+
     /// Number of keys with a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let contents = self.contents.lock().unwrap();
@@ -132,9 +161,14 @@
     request: &Message,
     stream: &mut TcpStream,
 ) -> io::Result<bool> {
+    let (era, is_away) = {
+        let contents = contents.lock().unwrap();
+        (contents.era, contents.is_away)
+    };
     let target = request.target();
     let path = target.split('?').next().unwrap_or_default();
     let (status, body) = match (request.method(), path) {
+        _ if is_away => (503, "{}".to_owned()),
         ("GET", "/v1/kv-key") => read_key(contents, &query(target, "Key")),
         ("GET", "/v1/kv-range") => {
             read_range(contents, &query(target, "PathPrefix"), &query(target, "After"))
@@ -148,7 +182,7 @@
     };
     let length = body.len();
     let head = format!(
-        "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
+        "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n"
     );
     stream.write_all((head + &body).as_bytes())?;
     Ok(true)
@@ -181,6 +215,9 @@
     let until = Instant::now() + wait;
     loop {
         let mut locked = contents.lock().unwrap();
+        if after > locked.revision {
+            return (410, "{}".to_owned());
+        }
         locked.expire_leases(Instant::now());
         let changes =
             locked.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
