--- a/review/standins-3/engines.rs
+++ b/review/standins-3/engines.rs
@@ -23,11 +23,6 @@
 const FIRST_EVENT_AFTER: Duration = Duration::from_millis(50);
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Events of a long answer, and the length of each: less than the longest ones of the users.
-pub const LONG_EVENTS: u32 = 500;
-const LONG_EVENT_BYTES: usize = 360;
-const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Key of the ordinary callers.
 pub const ORDINARY_KEY: &str = "i9n73hh2b9wu3fexd9dn";
 
@@ -77,41 +72,12 @@
     }
     running.fetch_add(1, Ordering::Relaxed);
     record.line(&format!("worker {instance} runs id={id} tokens={counts}"));
-    let written = if request.target().ends_with("/long") {
-        write_long_stream(id, time_limit(request), stream)
-    } else {
-        write_stream(id, stream)
-    };
+    let written = write_stream(id, stream);
     running.fetch_sub(1, Ordering::Relaxed);
     record.line(&format!("worker {instance} has ended id={id}: {written:?}"));
     written.map(|()| true)
 }
 
-fn time_limit(request: &Message) -> Duration {
-    let left_ms = request.header("deadline-ms").and_then(|left_ms| left_ms.parse().ok());
-    Duration::from_millis(left_ms.unwrap_or(12_000))
-}
-
-/// Writes a long answer, and stops work at the time limit, like an engine.
-fn write_long_stream(id: &str, limit: Duration, stream: &mut TcpStream) -> io::Result<()> {
-    let began_at = Instant::now();
-    let head = stream_head(id);
-    stream.write_all(head.as_bytes())?;
-    let data = "x".repeat(LONG_EVENT_BYTES);
-    for event in 1..=LONG_EVENTS {
-        let left = limit.saturating_sub(began_at.elapsed());
-        if left.is_zero() {
-            return Err(io::ErrorKind::TimedOut.into());
-        }
-        stream.set_write_timeout(Some(left))?;
-        let text = format!("id: {event}\ndata: {data}\n\n");
-        stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
-        thread::sleep(LONG_EVENT_INTERVAL);
-    }
-    stream.set_write_timeout(None)?;
-    stream.write_all(b"0\r\n\r\n")
-}
-
 fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/review/standins-3/gateway.rs
+++ b/review/standins-3/gateway.rs
@@ -51,6 +51,12 @@
     }
 }
 
+/// Has the program of a command killed when this process ends.
+pub fn die_with_parent(command: &mut Command) -> &mut Command {
+    // SAFETY: the child makes one plain system call before it runs the program.
+    unsafe { command.pre_exec(end_with_parent) }
+}
+
 impl Gateway {
     /// Starts a gateway. Its settings are those that the pages show, with `CpuShare` and addresses of
     /// this machine's loopback interface.
@@ -117,8 +123,7 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
-        // SAFETY: the child makes one plain system call before it runs the program.
-        let child = unsafe { command.pre_exec(end_with_parent) }.spawn()?;
+        let child = die_with_parent(&mut command).spawn()?;
         let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         Ok(Gateway { child, callers: address(front), readiness: address(ready) })
     }
